--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,673 @@
+// The interface of this module (settings, events, actions) is in api.go.
+//
+// One relay's decisions: a connection goes to its key's rendezvous home unless
+// this relay's own load T there exceeds that of a flagged random backup by Δ.
+
+package balance
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	deltaConns = 2.0              // Δ in connections' worth
+	clearEvery = 10 * time.Second // B and F are forgotten this often
+	beat       = time.Second      // the rhythm of upkeep
+	maxDivert  = 1 << 14          // diverted connections remembered
+	tickToken  = 1 << 63          // timers: upkeep; any other token is a request's deadline
+)
+
+// server is what this relay knows of a backend.
+type server struct {
+	Backend
+	hash    uint64
+	size    float64
+	news    time.Duration // when this relay learned of its present state
+	told    float64       // T: loads that notes or hints told
+	untold  []int         // T: connections by class whose load nobody told
+	conns   int
+	fresh   bool // joined while this relay lived; counts as mean T until its own T gets there
+	backup  *server
+	flagged bool
+	fails   float64       // recent share of attempts that failed here
+	until   time.Duration // suspended until then
+	bench   time.Duration // how long the next suspension lasts
+	budget  float64       // cold: connections' worth this relay may send now
+	filled  time.Duration // when budget was last topped up
+}
+
+// call is a request from its arrival until its last attempt has ended.
+type call struct {
+	Request
+	key       uint64 // what its home is hashed from
+	flow      uint64 // what its diversion is remembered under
+	deadline  time.Duration
+	tries     int
+	tried     [4]*server
+	at        *server // where the pending attempt or the open connection is
+	sent      time.Duration
+	load      float64 // told load, 0 when unknown
+	began     bool
+	done      bool // the final answer is out, or the client is gone
+	mayRan    bool // an earlier attempt may have acted
+	ranAt     time.Duration
+	ranServer *server
+}
+
+type diversion struct {
+	to *server
+	at time.Duration
+}
+
+// Balancer is one relay's decisions.
+type Balancer struct {
+	set     Settings
+	do      Actions
+	rng     *rand.Rand
+	servers map[BackendID]*server
+	ready   []*server // sorted by id
+	calls   map[uint64]*call
+	held    []*call
+	divert  map[uint64]diversion
+	order   []uint64 // keys of divert, oldest first
+	usual   []float64
+	seen    []float64 // per class: how many told loads usual rests on
+	began   time.Duration
+	cleared time.Duration
+	list    listState
+}
+
+// New starts a relay's decisions.
+func New(now time.Duration, seed uint64, s Settings, do Actions) *Balancer {
+	b := &Balancer{set: s, do: do, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		servers: map[BackendID]*server{}, calls: map[uint64]*call{}, divert: map[uint64]diversion{},
+		usual: make([]float64, len(s.Classes)), seen: make([]float64, len(s.Classes)),
+		began: now, cleared: now}
+	if s.ListOnRequest {
+		b.ask(now)
+	}
+	do.After(tickToken, beat)
+	return b
+}
+
+// --- placing -----------------------------------------------------------------
+
+// place chooses the backend of a connection, as the design page reads.
+func (b *Balancer) place(now time.Duration, c *call) *server {
+	home := b.home(now, c)
+	if home == nil {
+		return nil
+	}
+	if c.MidFlow && c.tries == 0 { // the recorded server or, without a record, home
+		if d, ok := b.divert[c.flow]; ok && b.usable(now, d.to, c, true) {
+			return d.to
+		}
+		return home
+	}
+	backup := home.backup
+	if backup == nil {
+		backup = b.ready[b.rng.IntN(len(b.ready))]
+		if backup.flagged || backup == home {
+			return home
+		}
+	}
+	if b.load(home)-b.load(backup) < b.delta() || !b.usable(now, backup, c, true) {
+		return home
+	}
+	home.backup, backup.flagged = backup, true
+	b.remember(now, c, backup)
+	return backup
+}
+
+// home is the first server in the key's rendezvous order that takes it. Servers
+// that are suspended or cold pass their keys on; when that leaves none,
+// suspensions are void, since a doubtful server beats none.
+func (b *Balancer) home(now time.Duration, c *call) *server {
+	var best, doubtful *server
+	var bestScore, doubtfulScore float64
+	for _, s := range b.ready {
+		score := rendezvous(c.key, s)
+		if score > bestScore && b.usable(now, s, c, true) {
+			best, bestScore = s, score
+		} else if best == nil && score > doubtfulScore && b.usable(now, s, c, false) {
+			doubtful, doubtfulScore = s, score
+		}
+	}
+	if best == nil {
+		return doubtful
+	}
+	return best
+}
+
+// usable says whether the connection may go to the server at all.
+func (b *Balancer) usable(now time.Duration, s *server, c *call, healthy bool) bool {
+	if s.State != StateReady || healthy && s.until > now || !b.allowed(now, s, c) || !b.takesCold(now, s, c) {
+		return false
+	}
+	return !healthy || !slices.Contains(c.tried[:min(c.tries, len(c.tried))], s)
+}
+
+// rendezvous scores a server for a key; a larger server wins more keys, and a
+// change of one server moves only its own.
+func rendezvous(key uint64, s *server) float64 {
+	u := (float64(mix(key^s.hash)>>11) + 0.5) / (1 << 53)
+	return -s.size / math.Log(u)
+}
+
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// delta is Δ: connections' worth, relative to a server of mean size.
+func (b *Balancer) delta() float64 { return deltaConns * b.meanLoad() / b.meanSize() }
+
+// meanLoad is the load of a mean connection here, 1 while nothing is known.
+func (b *Balancer) meanLoad() float64 {
+	sum, n := 0.0, 0
+	for _, s := range b.ready {
+		sum += b.own(s)
+		n += s.conns
+	}
+	if n == 0 {
+		return b.classLoad(0)
+	}
+	return sum / float64(n)
+}
+
+func (b *Balancer) meanSize() float64 {
+	sum := 0.0
+	for _, s := range b.ready {
+		sum += s.size
+	}
+	return sum / float64(max(1, len(b.ready)))
+}
+
+// own is T: the load of this relay's connections on the server.
+func (b *Balancer) own(s *server) float64 {
+	t := s.told
+	for class, n := range s.untold {
+		t += float64(n) * b.classLoad(class)
+	}
+	return t
+}
+
+// load is T relative to the server's size. A new server counts as the mean until
+// its own T gets there: an empty one would draw every diversion at once.
+func (b *Balancer) load(s *server) float64 {
+	l := b.own(s) / s.size
+	if s.fresh {
+		sum, size := 0.0, 0.0
+		for _, o := range b.ready {
+			sum, size = sum+b.own(o), size+o.size
+		}
+		if mean := sum / size; l < mean {
+			return mean
+		}
+		s.fresh = false
+	}
+	return l
+}
+
+// classLoad is the usual load of a class: learned, else that of all, else 1.
+func (b *Balancer) classLoad(class int) float64 {
+	if b.seen[class] > 0 {
+		return b.usual[class]
+	}
+	sum, n := 0.0, 0.0
+	for i := range b.usual {
+		sum, n = sum+b.usual[i]*b.seen[i], n+b.seen[i]
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / n
+}
+
+// remember keeps a diversion for mid-flow arrivals; the oldest go first.
+func (b *Balancer) remember(now time.Duration, c *call, to *server) {
+	if _, ok := b.divert[c.flow]; !ok {
+		b.order = append(b.order, c.flow)
+	}
+	b.divert[c.flow] = diversion{to, now}
+	for len(b.order) > maxDivert {
+		delete(b.divert, b.order[0])
+		b.order = b.order[1:]
+	}
+}
+
+// --- the life of a request -----------------------------------------------------
+
+// Request takes a new connection.
+func (b *Balancer) Request(now time.Duration, r Request) {
+	if b.calls[r.ID] != nil {
+		return
+	}
+	c := b.newCall(now, r)
+	b.try(now, c)
+	if !c.done {
+		b.do.After(r.ID, max(0, r.Left-b.set.Tick))
+	}
+}
+
+func (b *Balancer) newCall(now time.Duration, r Request) *call {
+	if r.Class < 0 || r.Class >= len(b.set.Classes) {
+		r.Class = 0
+	}
+	c := &call{Request: r, deadline: now + r.Left, key: mix(r.Key), load: sane(r.Load)}
+	if r.Key == 0 {
+		c.key = mix(r.ID)
+	}
+	c.flow = mix(c.key ^ r.Group<<8 ^ uint64(r.Class))
+	b.calls[r.ID] = c
+	return c
+}
+
+// sane drops loads that are not a positive number.
+func sane(v float64) float64 {
+	if v > 0 && !math.IsInf(v, 0) {
+		return v
+	}
+	return 0
+}
+
+// Open takes over a connection that flows through this relay already.
+func (b *Balancer) Open(now time.Duration, r Request, id BackendID) {
+	if b.calls[r.ID] != nil {
+		return
+	}
+	s := b.servers[id]
+	if s == nil {
+		s = b.learn(now, Backend{ID: id, State: StateGone, Weight: 1})
+	}
+	c := b.newCall(now, r)
+	c.began, c.tries = true, 1
+	b.attach(c, s)
+}
+
+// try sends the next attempt, or holds the request while nothing can take it.
+func (b *Balancer) try(now time.Duration, c *call) {
+	s := b.place(now, c)
+	if s == nil {
+		if !slices.Contains(b.held, c) {
+			b.held = append(b.held, c)
+		}
+		return
+	}
+	if c.tries < len(c.tried) {
+		c.tried[c.tries] = s
+	}
+	c.tries++
+	c.sent = now
+	b.attach(c, s)
+	b.spend(now, s, c)
+	b.do.Send(c.ID, s.ID, b.patience(now, c))
+}
+
+// patience is an attempt's time-out: the class's aim while another attempt can
+// follow, else all the time there is.
+func (b *Balancer) patience(now time.Duration, c *call) time.Duration {
+	left := c.deadline - now
+	if c.tries >= b.set.TryLimit || b.set.Classes[c.Class].Effect == Unsafe {
+		return left
+	}
+	return min(left, max(b.set.Classes[c.Class].OnTime, left/2))
+}
+
+// allowed keeps rule 2: no effect happens twice.
+func (b *Balancer) allowed(now time.Duration, s *server, c *call) bool {
+	if !c.mayRan {
+		return true
+	}
+	class := &b.set.Classes[c.Class]
+	switch class.Effect {
+	case Safe:
+		return true
+	case Keyed:
+		if now-c.ranAt >= class.Window-b.set.Tick {
+			return false
+		}
+		return class.Scope == ScopeAll || class.Scope == ScopeZone && s.Zone == c.ranServer.Zone ||
+			class.Scope == ScopeCell && s.Cell == c.ranServer.Cell
+	}
+	return false
+}
+
+// answer gives the final answer: refused where a retry is known to do no harm,
+// else failed.
+func (b *Balancer) answer(now time.Duration, c *call) {
+	class := &b.set.Classes[c.Class]
+	if !c.mayRan || class.Effect == Safe || class.Effect == Keyed && class.Scope == ScopeAll {
+		b.do.Refuse(c.ID, 0)
+	} else {
+		b.do.Fail(c.ID)
+	}
+	b.finish(c)
+}
+
+// finish ends the request for the client; a pending attempt still reports.
+func (b *Balancer) finish(c *call) {
+	c.done = true
+	if i := slices.Index(b.held, c); i >= 0 {
+		b.held = slices.Delete(b.held, i, i+1)
+	}
+	if c.at == nil {
+		delete(b.calls, c.ID)
+	}
+}
+
+// Began hears that a connection stands.
+func (b *Balancer) Began(now time.Duration, o Outcome) {
+	if c := b.calls[o.ID]; c != nil && c.at != nil && o.Attempt == c.tries-1 {
+		c.began = true
+		b.judge(now, c.at, OK)
+	}
+}
+
+// Outcome hears the end of an attempt or of an open connection.
+func (b *Balancer) Outcome(now time.Duration, o Outcome) {
+	c := b.calls[o.ID]
+	if c == nil || c.at == nil || o.Attempt != c.tries-1 {
+		return
+	}
+	s := c.at
+	b.detach(c)
+	if !c.began {
+		b.judge(now, s, o.Status)
+	}
+	if o.Status.Ran() && !c.mayRan {
+		c.mayRan, c.ranAt, c.ranServer = true, c.sent, s
+	}
+	switch {
+	case c.done || o.Closed || c.began:
+		b.finish(c)
+	case c.tries >= b.set.TryLimit || now+b.set.Tick >= c.deadline || !b.mayRepeat(now, c):
+		b.answer(now, c)
+	default:
+		b.try(now, c)
+	}
+}
+
+// mayRepeat says whether any server may get another attempt.
+func (b *Balancer) mayRepeat(now time.Duration, c *call) bool {
+	return slices.ContainsFunc(b.ready, func(s *server) bool { return b.allowed(now, s, c) })
+}
+
+// Gone hears that the client left.
+func (b *Balancer) Gone(now time.Duration, id uint64) {
+	if c := b.calls[id]; c != nil && !c.done {
+		b.finish(c)
+	}
+}
+
+// Note hears of a pending attempt.
+func (b *Balancer) Note(now time.Duration, id uint64, kind NoteKind, v float64) {
+	c := b.calls[id]
+	if c == nil || c.at == nil {
+		return
+	}
+	if kind == NoteLoad {
+		if v = sane(v); v > 0 {
+			s := c.at
+			b.detach(c)
+			c.load = v
+			b.attach(c, s)
+			n := min(b.seen[c.Class]+1, 100)
+			b.seen[c.Class] = n
+			b.usual[c.Class] += (v - b.usual[c.Class]) / n
+		}
+	}
+}
+
+// attach counts the connection in T.
+func (b *Balancer) attach(c *call, s *server) {
+	c.at = s
+	s.conns++
+	if c.load > 0 {
+		s.told += c.load
+	} else {
+		s.untold[c.Class]++
+	}
+}
+
+func (b *Balancer) detach(c *call) {
+	s := c.at
+	c.at = nil
+	s.conns--
+	if c.load > 0 {
+		s.told = max(0, s.told-c.load)
+	} else {
+		s.untold[c.Class]--
+	}
+	if s.conns == 0 {
+		s.told = 0
+	}
+}
+
+// Timer hears a timer that this module asked for.
+func (b *Balancer) Timer(now time.Duration, token uint64) {
+	if token == tickToken {
+		b.upkeep(now)
+		b.do.After(tickToken, beat)
+		return
+	}
+	// Only a request held without an attempt is answered here; an attempt's own
+	// time-out reports no later than the deadline.
+	if c := b.calls[token]; c != nil && !c.done && !c.began && c.at == nil {
+		b.answer(now, c)
+	}
+}
+
+func (b *Balancer) upkeep(now time.Duration) {
+	if now-b.cleared >= clearEvery {
+		b.clear(now)
+	}
+	for len(b.order) > 0 && now-b.divert[b.order[0]].at > 10*time.Minute {
+		delete(b.divert, b.order[0])
+		b.order = b.order[1:]
+	}
+	b.watch(now)
+	b.retryHeld(now)
+}
+
+// clear forgets backups and flags.
+func (b *Balancer) clear(now time.Duration) {
+	b.cleared = now
+	for _, s := range b.servers {
+		s.backup, s.flagged = nil, false
+	}
+}
+
+func (b *Balancer) retryHeld(now time.Duration) {
+	held := b.held
+	b.held = nil
+	for _, c := range held {
+		b.try(now, c)
+	}
+}
+
+// --- health -------------------------------------------------------------------
+
+// judge learns from the end of an attempt. A server that fails most of its
+// attempts is suspended: quick failures shed T and would draw traffic. The
+// suspended share is capped, so that trouble shared by all ejects nobody.
+func (b *Balancer) judge(now time.Duration, s *server, st Status) {
+	bad := 0.0
+	switch st {
+	case OK:
+	case Error, Timeout, ConnectFailed, Reset:
+		bad = 1
+	default:
+		return
+	}
+	s.fails += (bad - s.fails) / 4
+	if bad == 0 {
+		if s.fails < 0.1 {
+			s.bench = 0
+		}
+		return
+	}
+	if s.fails < 0.5 || s.until > now {
+		return
+	}
+	out := 1
+	for _, o := range b.ready {
+		if o.until > now {
+			out++
+		}
+	}
+	if 3*out > len(b.ready) {
+		return
+	}
+	s.bench = min(max(beat, 2*s.bench), 16*beat)
+	s.until = now + s.bench
+}
+
+// Probed hears a probe's answer.
+func (b *Balancer) Probed(now time.Duration, r Report) {}
+
+// Peer hears another relay.
+func (b *Balancer) Peer(now time.Duration, from int, data []byte) {}
+
+// --- cold servers ----------------------------------------------------------------
+
+// warmth is the share of its capacity a server surely has.
+func (b *Balancer) warmth(now time.Duration, s *server) float64 {
+	age := now - s.ReadyAt
+	if s.ReadyAt == 0 || b.set.WarmUp <= 0 || age >= b.set.WarmUp {
+		return 1
+	}
+	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, float64(age)/float64(b.set.WarmUp))
+}
+
+// takesCold says whether a starting server takes this key now: a rising share of
+// its keys, within this relay's part of what it can bear.
+func (b *Balancer) takesCold(now time.Duration, s *server, c *call) bool {
+	w := b.warmth(now, s)
+	if w >= 1 {
+		return true
+	}
+	if float64(mix(c.key+s.hash)>>11)/(1<<53) > w {
+		return false
+	}
+	b.refill(now, s, w)
+	return s.budget >= 1
+}
+
+// refill adds to a cold server's budget. What it can do is guessed from what this
+// relay has on others of its size, and filled no faster than over the warm-up.
+func (b *Balancer) refill(now time.Duration, s *server, warmth float64) {
+	if s.filled == 0 {
+		s.filled, s.budget = now, 1
+	}
+	conns, size := 0.0, 0.0
+	for _, o := range b.ready {
+		if b.warmth(now, o) >= 1 {
+			conns, size = conns+float64(o.conns), size+o.size
+		}
+	}
+	if size > 0 {
+		rate := conns / size * s.size * warmth / b.set.WarmUp.Seconds()
+		s.budget = min(max(1, rate*b.set.FallSpan.Seconds()), s.budget+rate*(now-s.filled).Seconds())
+	}
+	s.filled = now
+}
+
+func (b *Balancer) spend(now time.Duration, s *server, c *call) {
+	if b.warmth(now, s) < 1 {
+		b.refill(now, s, b.warmth(now, s))
+		s.budget--
+	}
+}
+
+// --- the list -----------------------------------------------------------------------
+
+type listState struct {
+	asked  time.Duration // when the last call went out
+	again  time.Duration // when to ask again; 0: no need
+	wait   time.Duration // present back-off
+	opened bool
+}
+
+// List hears news of the backends.
+func (b *Balancer) List(now time.Duration, kind ListKind, lines []Backend) {
+	if kind == ListFailed {
+		// Back off with jitter: the list service is shared and falls behind when all ask at once.
+		b.list.wait = min(max(beat, 2*b.list.wait), max(beat, b.set.AskEvery/2))
+		b.list.again = now + time.Duration(float64(b.list.wait)*(0.5+b.rng.Float64()))
+		b.list.opened = false
+		return
+	}
+	if kind != ListCached && b.set.ListOnRequest {
+		b.list = listState{asked: b.list.asked, opened: true}
+	}
+	if kind != ListDelta {
+		named := make(map[BackendID]bool, len(lines))
+		for i := range lines {
+			named[lines[i].ID] = true
+		}
+		for _, s := range b.servers {
+			if !named[s.ID] && s.State != StateGone {
+				s.State, s.news = StateGone, now
+			}
+		}
+	}
+	for i := range lines {
+		b.learn(now, lines[i])
+	}
+	b.ready = b.ready[:0]
+	for id, s := range b.servers {
+		if s.State == StateReady {
+			b.ready = append(b.ready, s)
+		} else if s.State == StateGone && s.conns == 0 && now-s.news > 10*time.Minute {
+			delete(b.servers, id)
+		}
+	}
+	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
+	b.clear(now)
+	b.retryHeld(now)
+}
+
+// learn takes in one line of a list.
+func (b *Balancer) learn(now time.Duration, l Backend) *server {
+	s := b.servers[l.ID]
+	if s == nil {
+		s = &server{hash: mix(uint64(l.ID) * 0x9e3779b97f4a7c15), untold: make([]int, len(b.set.Classes)),
+			fresh: now > b.began && l.State == StateReady, news: now}
+		b.servers[l.ID] = s
+	}
+	if l.State == StateReady && l.ReadyAt != s.ReadyAt { // a new process: old sins are void, and it is cold
+		s.fails, s.until, s.bench, s.filled = 0, 0, 0, 0
+	}
+	if l.State != s.State {
+		s.news = now
+	}
+	s.Backend = l
+	if b.set.Weights == WeightsNominal || b.set.Weights == WeightsRough {
+		s.size = sane(l.Weight)
+	}
+	if s.size == 0 {
+		s.size = 1
+	}
+	return s
+}
+
+func (b *Balancer) ask(now time.Duration) {
+	b.do.Subscribe(true)
+	b.list.asked = now
+	b.list.again = now + max(beat, b.set.AskEvery) // a call that is never answered is asked again
+}
+
+// watch asks for the list again when due.
+func (b *Balancer) watch(now time.Duration) {
+	if b.set.ListOnRequest && b.list.again > 0 && now >= b.list.again {
+		b.ask(now)
+	}
+}
--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,297 @@
+package balance
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// action is one thing the module did.
+type action struct {
+	what    string
+	id      uint64
+	to      BackendID
+	wait    time.Duration
+	attempt int
+}
+
+// recorder keeps the module's actions for a test to read.
+type recorder struct{ did []action }
+
+func (r *recorder) Send(id uint64, to BackendID, t time.Duration) {
+	r.did = append(r.did, action{what: "send", id: id, to: to, wait: t})
+}
+func (r *recorder) Refuse(id uint64, t time.Duration) {
+	r.did = append(r.did, action{what: "refuse", id: id, wait: t})
+}
+func (r *recorder) Fail(id uint64) { r.did = append(r.did, action{what: "fail", id: id}) }
+func (r *recorder) Cancel(id uint64, n int) {
+	r.did = append(r.did, action{what: "cancel", id: id, attempt: n})
+}
+func (r *recorder) Probe(to BackendID)   { r.did = append(r.did, action{what: "probe", to: to}) }
+func (r *recorder) Release(to BackendID) { r.did = append(r.did, action{what: "release", to: to}) }
+func (r *recorder) Move(id uint64)       { r.did = append(r.did, action{what: "move", id: id}) }
+func (r *recorder) Tell(peer int, data []byte) {
+	r.did = append(r.did, action{what: "tell", attempt: peer})
+}
+func (r *recorder) After(token uint64, d time.Duration) {
+	r.did = append(r.did, action{what: "after", id: token, wait: d})
+}
+func (r *recorder) Subscribe(bool) { r.did = append(r.did, action{what: "subscribe"}) }
+func (r *recorder) Fetch()         { r.did = append(r.did, action{what: "fetch"}) }
+func (r *recorder) Log(string)     {}
+
+// take returns the actions of one kind since the last take of any.
+func (r *recorder) take(what string) []action {
+	var got []action
+	for _, a := range r.did {
+		if a.what == what {
+			got = append(got, a)
+		}
+	}
+	return got
+}
+
+func (r *recorder) clear() { r.did = nil }
+
+const (
+	ms  = time.Millisecond
+	sec = time.Second
+)
+
+func settings() Settings {
+	return Settings{
+		Me: 0, Relays: 2, Tick: 4 * ms, TryLimit: 4, Weights: WeightsNominal,
+		Classes: []Class{
+			{OnTime: 500 * ms, GiveUp: 2 * sec, MessageAim: 60 * ms, Effect: Safe, Worth: 1},
+			{OnTime: 500 * ms, GiveUp: 2 * sec, MessageAim: 60 * ms, Effect: Unsafe, Worth: 1},
+			{OnTime: 500 * ms, GiveUp: 2 * sec, MessageAim: 60 * ms, Effect: Keyed, Scope: ScopeCell,
+				Window: sec, Worth: 1},
+			{OnTime: 500 * ms, GiveUp: 2 * sec, MessageAim: 60 * ms, Effect: Keyed, Scope: ScopeZone,
+				Window: sec, Worth: 1},
+			{OnTime: 500 * ms, GiveUp: 2 * sec, MessageAim: 60 * ms, Effect: Keyed, Scope: ScopeAll,
+				Window: sec, Worth: 1},
+		},
+		DrainGrace: 250 * ms, AnswerSlack: 16 * ms, DialTimeout: 250 * ms, AskEvery: 10 * sec,
+		ColdFrom: 0.3, WarmUp: 10 * sec, FallMultiple: 2, FallSpan: 2 * sec, MaxRetryAfter: sec,
+		TellsDelay: true, TellsLoad: true,
+	}
+}
+
+func fleet(n int) []Backend {
+	list := make([]Backend, n)
+	for i := range list {
+		list[i] = Backend{ID: BackendID(i + 1), State: StateReady, Zone: i % 2, Cell: i / 2, Weight: 1}
+	}
+	return list
+}
+
+func start(t *testing.T, s Settings, n int) (*Balancer, *recorder) {
+	t.Helper()
+	r := &recorder{}
+	b := New(sec, 1, s, r)
+	b.List(sec, ListCached, fleet(n))
+	r.clear()
+	return b, r
+}
+
+// sent asks for a place and returns where the request went.
+func sent(t *testing.T, b *Balancer, r *recorder, now time.Duration, q Request) BackendID {
+	t.Helper()
+	r.clear()
+	if q.Left == 0 {
+		q.Left = 2 * sec
+	}
+	b.Request(now, q)
+	got := r.take("send")
+	if len(got) != 1 || got[0].id != q.ID {
+		t.Fatalf("request %d: sends %v", q.ID, got)
+	}
+	return got[0].to
+}
+
+func TestOneServersChangeMovesOnlyItsOwnKeys(t *testing.T) {
+	home := func(list []Backend) map[uint64]BackendID {
+		got := map[uint64]BackendID{}
+		for key := uint64(1); key <= 500; key++ {
+			r := &recorder{}
+			b := New(sec, key, settings(), r)
+			b.List(sec, ListCached, list)
+			got[key] = sent(t, b, r, sec, Request{ID: 1, Key: key})
+		}
+		return got
+	}
+	list := fleet(10)
+	before, after := home(list), home(slices.Delete(slices.Clone(list), 3, 4))
+	for key, was := range before {
+		if was != list[3].ID && after[key] != was {
+			t.Errorf("key %d moved from %d to %d though neither changed", key, was, after[key])
+		}
+		if after[key] == list[3].ID {
+			t.Errorf("key %d still goes to the server that left", key)
+		}
+	}
+}
+
+func TestRepeatsAndRefusalsKeepEffectsSingle(t *testing.T) {
+	type step struct {
+		class  int
+		status Status
+		want   string // what follows the first attempt's end
+	}
+	for _, tc := range []struct {
+		name string
+		step
+	}{
+		{"safe after an error", step{0, Error, "send"}},
+		{"unsafe after an error", step{1, Error, "fail"}},
+		{"unsafe after a time-out", step{1, Timeout, "fail"}},
+		{"unsafe after a rejection", step{1, Full, "send"}},
+		{"unsafe after a failed connect", step{1, ConnectFailed, "send"}},
+		{"keyed for a cell", step{2, Error, "send cell"}},
+		{"keyed for a zone", step{3, Reset, "send zone"}},
+		{"keyed for all", step{4, Reset, "send"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b, r := start(t, settings(), 8)
+			first := sent(t, b, r, sec, Request{ID: 9, Class: tc.class, Key: 5})
+			r.clear()
+			b.Outcome(sec+100*ms, Outcome{ID: 9, Backend: first, Status: tc.status})
+			sends, fails := r.take("send"), r.take("fail")
+			if tc.want == "fail" {
+				if len(sends) != 0 || len(fails) != 1 {
+					t.Fatalf("did %v", r.did)
+				}
+				return
+			}
+			if len(sends) != 1 || sends[0].to == first && tc.want == "send" {
+				t.Fatalf("did %v", r.did)
+			}
+			cell := func(id BackendID) int { return int(id-1) / 2 }
+			zone := func(id BackendID) int { return int(id-1) % 2 }
+			if tc.want == "send cell" && cell(sends[0].to) != cell(first) {
+				t.Errorf("left the cell: %d after %d", sends[0].to, first)
+			}
+			if tc.want == "send zone" && zone(sends[0].to) != zone(first) {
+				t.Errorf("left the zone: %d after %d", sends[0].to, first)
+			}
+		})
+	}
+}
+
+func TestKeyedRepeatEndsWithItsWindow(t *testing.T) {
+	b, r := start(t, settings(), 8)
+	first := sent(t, b, r, sec, Request{ID: 9, Class: 3, Key: 5})
+	r.clear()
+	b.Outcome(sec+sec, Outcome{ID: 9, Backend: first, Status: Reset})
+	if len(r.take("send")) != 0 || len(r.take("fail")) != 1 || len(r.take("refuse")) != 0 {
+		t.Fatalf("after the window: %v", r.did)
+	}
+}
+
+func TestEmptyFleetHoldsThenAnswersInTime(t *testing.T) {
+	r := &recorder{}
+	b := New(sec, 1, settings(), r)
+	b.List(sec, ListCached, nil)
+	r.clear()
+	b.Request(sec, Request{ID: 1, Key: 1, Left: 2 * sec})
+	if len(r.take("send"))+len(r.take("refuse"))+len(r.take("fail")) != 0 {
+		t.Fatalf("answered at once: %v", r.did)
+	}
+	timers := r.take("after")
+	if len(timers) != 1 || timers[0].wait > 2*sec {
+		t.Fatalf("no timely timer: %v", r.did)
+	}
+	r.clear()
+	b.Timer(sec+timers[0].wait, timers[0].id)
+	if len(r.take("refuse")) != 1 {
+		t.Fatalf("no final answer: %v", r.did)
+	}
+	r.clear()
+	b.List(4*sec, ListFull, fleet(3))
+	if len(r.take("send")) != 0 {
+		t.Fatal("sent after the final answer")
+	}
+}
+
+func TestHeldRequestGoesWhenAServerComes(t *testing.T) {
+	r := &recorder{}
+	b := New(sec, 1, settings(), r)
+	b.Request(sec, Request{ID: 1, Key: 1, Left: 2 * sec})
+	r.clear()
+	b.List(sec+100*ms, ListFull, fleet(1))
+	if got := r.take("send"); len(got) != 1 {
+		t.Fatalf("held request not sent: %v", r.did)
+	}
+}
+
+func TestNothingNewToDrainingOrGone(t *testing.T) {
+	b, r := start(t, settings(), 3)
+	list := fleet(3)
+	list[0].State = StateDraining
+	b.List(2*sec, ListDelta, list[:1])
+	b.List(2*sec, ListDelta, []Backend{{ID: 2, State: StateGone, Weight: 1}})
+	for id := uint64(1); id < 50; id++ {
+		if to := sent(t, b, r, 2*sec, Request{ID: id, Key: id}); to != 3 {
+			t.Fatalf("request %d went to %d", id, to)
+		}
+	}
+}
+
+func TestUnknownAndLateEventsAreIgnored(t *testing.T) {
+	b, r := start(t, settings(), 3)
+	first := sent(t, b, r, sec, Request{ID: 1, Key: 1})
+	r.clear()
+	b.Outcome(sec, Outcome{ID: 77, Backend: 1, Status: Error})
+	b.Outcome(sec, Outcome{ID: 1, Attempt: 3, Backend: first, Status: Error})
+	b.Began(sec, Outcome{ID: 78})
+	b.Gone(sec, 79)
+	b.Note(sec, 80, NoteLoad, 5)
+	b.Timer(sec, 81)
+	b.Probed(sec, Report{Backend: 99})
+	b.Peer(sec, 7, []byte{1, 2, 3})
+	b.Request(sec, Request{ID: 1, Key: 1, Left: sec})
+	if len(r.did) != 0 {
+		t.Fatalf("acted on nothing: %v", r.did)
+	}
+}
+
+// A cold server may be given no more than its share, however many keys are its own.
+func TestColdServerFillsSlowly(t *testing.T) {
+	b, r := start(t, settings(), 4)
+	for id := uint64(1); id <= 40; id++ {
+		sent(t, b, r, sec, Request{ID: id, Key: id})
+		b.Began(sec, Outcome{ID: id})
+	}
+	b.List(20*sec, ListDelta, []Backend{{ID: 9, State: StateReady, Weight: 1, ReadyAt: 20 * sec}})
+	n := 0
+	for id := uint64(100); id < 400; id++ {
+		if sent(t, b, r, 20*sec, Request{ID: id, Key: id}) == 9 {
+			n++
+		}
+	}
+	if n < 1 || n > 2 {
+		t.Fatalf("a cold server got %d connections at once", n)
+	}
+}
+
+func TestListOnRequestBacksOffAndAsksAgain(t *testing.T) {
+	s := settings()
+	s.ListOnRequest = true
+	r := &recorder{}
+	b := New(sec, 1, s, r)
+	if len(r.take("subscribe")) != 1 {
+		t.Fatal("did not ask for the list")
+	}
+	r.clear()
+	b.List(2*sec, ListFailed, nil)
+	if len(r.take("subscribe")) != 0 {
+		t.Fatal("asked again at once")
+	}
+	for now := 2 * sec; now < 5*sec; now += sec {
+		b.Timer(now, tickToken)
+	}
+	if n := len(r.take("subscribe")); n != 1 {
+		t.Fatalf("asked %d times in 3 s", n)
+	}
+}
--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,136 @@
+// Command drill is the adapter between the decision module and the bench's
+// wire: batches of events on standard input, one reply each on standard output.
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"aspenbarrow/balance"
+	"aspenbarrow/internal/mesa"
+)
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		os.Exit(1)
+	}
+}
+
+// run answers batches until the input ends.
+func run(in io.Reader, out io.Writer) error {
+	h := host{instances: map[uint32]*balance.Balancer{}, event: new(mesa.Event)}
+	r, buf := bufio.NewReaderSize(in, 1<<20), new(bytes.Buffer)
+	for {
+		if err := mesa.ReadFrame(r, buf); err != nil {
+			if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+				return nil
+			}
+			return err
+		}
+		if err := h.batch(buf.Bytes()); err != nil {
+			return err
+		}
+		if _, err := out.Write(h.reply.Bytes()); err != nil {
+			return fmt.Errorf("writing the reply: %w", err)
+		}
+	}
+}
+
+// host keeps the instances of one process. They share nothing but the lists,
+// which are the wire's and are only read.
+type host struct {
+	instances map[uint32]*balance.Balancer
+	lists     [16][]balance.Backend
+	reply     mesa.Reply
+	event     *mesa.Event
+}
+
+func (h *host) batch(frame []byte) error {
+	h.reply.Reset()
+	d, now, err := mesa.NewDecoder(frame)
+	if err != nil {
+		return err
+	}
+	var at uint32
+	var chosen bool
+	for {
+		e := h.event
+		if err := d.Next(e); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+		switch e.Code {
+		case mesa.About:
+			at, chosen = e.Instance, true
+			continue
+		case mesa.Inventory:
+			h.lists[e.Slot] = e.List
+			continue
+		}
+		if !chosen {
+			return fmt.Errorf("event code %d before any instance was named", e.Code)
+		}
+		if err := h.deliver(at, now, e); err != nil {
+			return err
+		}
+	}
+}
+
+// deliver hands one event to its instance. A panic there is that instance's
+// fault and is reported as such.
+func (h *host) deliver(at uint32, now time.Duration, e *mesa.Event) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			h.reply.Fatal(at, fmt.Sprint(p))
+			delete(h.instances, at)
+		}
+	}()
+	if e.Code == mesa.Configure {
+		s, err := mesa.ParseSettings(e.Info)
+		if err != nil {
+			return fmt.Errorf("instance %d: %w", at, err)
+		}
+		h.instances[at] = balance.New(now, e.Seed, s, mesa.Writer{Reply: &h.reply, Instance: at})
+		return nil
+	}
+	b := h.instances[at]
+	if b == nil {
+		return nil
+	}
+	switch e.Code {
+	case mesa.Exit:
+		delete(h.instances, at)
+	case mesa.View:
+		var list []balance.Backend
+		if e.Kind != balance.ListFailed {
+			list = h.lists[e.Slot]
+		}
+		b.List(now, e.Kind, list)
+	case mesa.Call:
+		b.Request(now, e.Request)
+	case mesa.Resumed:
+		b.Open(now, e.Request, e.Backend)
+	case mesa.Begun:
+		b.Began(now, e.Outcome)
+	case mesa.Note:
+		b.Note(now, e.Outcome.ID, e.NoteKind, e.Value)
+	case mesa.Settled:
+		b.Outcome(now, e.Outcome)
+	case mesa.Dropped:
+		b.Gone(now, e.Outcome.ID)
+	case mesa.Fired:
+		b.Timer(now, e.Token)
+	case mesa.Probed:
+		b.Probed(now, e.Report)
+	case mesa.Datagram:
+		b.Peer(now, e.From, e.Data)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/mesa/settings.go
@@ -0,0 +1,142 @@
+package mesa
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"aspenbarrow/balance"
+)
+
+type info struct {
+	Classes []struct {
+		OnTime float64 `json:"on-time-ms"`
+		GiveUp float64 `json:"give-up-ms"`
+		Effect string  `json:"effect"`
+		Scope  string  `json:"dedup-scope"`
+		Window float64 `json:"dedup-window-ms"`
+		Worth  float64 `json:"worth"`
+	} `json:"classes"`
+	Customers []struct {
+		Portion float64 `json:"portion"`
+		Quota   float64 `json:"quota-per-s"`
+	} `json:"customers"`
+	Family struct {
+		Groups     bool      `json:"groups"`
+		MessageAim []float64 `json:"message-aim-ms"`
+		Mode       string    `json:"mode"`
+		Park       float64   `json:"park-ms"`
+		TellsDelay bool      `json:"tells-delay"`
+		TellsLoad  bool      `json:"tells-load"`
+		Quota      []float64 `json:"tenant-quota-connections"`
+	} `json:"family-info"`
+	Limits struct {
+		Cancelling    bool    `json:"cancelling"`
+		DialTimeout   float64 `json:"dial-timeout-ms"`
+		MaxRetryAfter float64 `json:"max-retry-after-ms"`
+		Peers         bool    `json:"peers"`
+		Probes        bool    `json:"probes"`
+		RetryAfter    bool    `json:"retry-after"`
+		TryLimit      int     `json:"try-limit"`
+	} `json:"limits"`
+	Prices struct {
+		CrossZone float64 `json:"cross-zone"`
+		Waste     float64 `json:"waste"`
+		Probe     float64 `json:"probe"`
+		Moves     float64 `json:"moves"`
+		Peer      float64 `json:"peer"`
+		List      float64 `json:"registry-mode"`
+		LateFail  float64 `json:"late-fail"`
+	} `json:"prices"`
+	Rules struct {
+		AnswerSlack  float64 `json:"answer-slack-ms"`
+		AskEvery     float64 `json:"ask-every-ms"`
+		ColdFrom     float64 `json:"cold-from"`
+		FallMS       float64 `json:"fall-ms"`
+		FallMultiple float64 `json:"fall-multiple"`
+		StopSending  float64 `json:"stop-sending-within-ms"`
+		WarmUp       float64 `json:"warm-up-ms"`
+	} `json:"rules"`
+	Stats struct {
+		Fields []string `json:"fields"`
+		How    string   `json:"how"`
+	} `json:"stats"`
+	Me        int     `json:"me"`
+	Instances int     `json:"n-instances"`
+	OverShare float64 `json:"over-share-worth"`
+	Registry  string  `json:"registry-mode"`
+	Tick      float64 `json:"tick-ms"`
+	Weights   string  `json:"weights"`
+	Zone      int     `json:"zone"`
+}
+
+var (
+	effects = map[string]balance.Effect{"read_like": balance.Safe, "idempotency_key": balance.Keyed,
+		"non_idempotent": balance.Unsafe}
+	scopes  = map[string]balance.Scope{"all": balance.ScopeAll, "zone": balance.ScopeZone, "cell": balance.ScopeCell}
+	weights = map[string]balance.Weights{"off": balance.WeightsOff, "nominal": balance.WeightsNominal,
+		"rough": balance.WeightsRough, "live": balance.WeightsLive}
+	fields = map[string]balance.Field{"outstanding": balance.FieldInflight, "backlog": balance.FieldQueue,
+		"utilization": balance.FieldUtilization, "errors_per_s": balance.FieldErrors,
+		"x0": balance.FieldLoadShare, "x1": balance.FieldPiledUp}
+)
+
+// ParseSettings reads the settings of a Configure event. Keys that are not
+// known are skipped; settings that no relay could run by are an error.
+func ParseSettings(text []byte) (balance.Settings, error) {
+	var in info
+	if err := json.Unmarshal(text, &in); err != nil {
+		return balance.Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	if len(in.Classes) == 0 {
+		return balance.Settings{}, errors.New("settings: no classes")
+	}
+	if in.Instances < 1 || in.Me < 0 || in.Me >= in.Instances {
+		return balance.Settings{}, fmt.Errorf("settings: relay %d of %d", in.Me, in.Instances)
+	}
+	s := balance.Settings{
+		Me: in.Me, Relays: in.Instances, Zone: in.Zone, Tick: Duration(in.Tick),
+		OverShareWorth: in.OverShare,
+		Groups:         in.Family.Groups, PassThrough: in.Family.Mode == "pass",
+		TellsLoad: in.Family.TellsLoad, TellsDelay: in.Family.TellsDelay, Park: Duration(in.Family.Park),
+		Probes: in.Limits.Probes, Peers: in.Limits.Peers, Cancel: in.Limits.Cancelling,
+		RetryAfter: in.Limits.RetryAfter, TryLimit: max(1, in.Limits.TryLimit),
+		MaxRetryAfter: Duration(in.Limits.MaxRetryAfter), DialTimeout: Duration(in.Limits.DialTimeout),
+		ListOnRequest: in.Registry == "on_request", AskEvery: Duration(in.Rules.AskEvery),
+		AnswerSlack: Duration(in.Rules.AnswerSlack), DrainGrace: Duration(in.Rules.StopSending),
+		ColdFrom: in.Rules.ColdFrom, WarmUp: Duration(in.Rules.WarmUp),
+		FallMultiple: in.Rules.FallMultiple, FallSpan: Duration(in.Rules.FallMS),
+		Weights: weights[in.Weights],
+		Prices: balance.Prices{CrossZone: in.Prices.CrossZone, Waste: in.Prices.Waste, Probe: in.Prices.Probe,
+			Move: in.Prices.Moves, Peer: in.Prices.Peer, List: in.Prices.List, LateFail: in.Prices.LateFail},
+	}
+	for i, c := range in.Classes {
+		effect, ok := effects[c.Effect]
+		if !ok {
+			return balance.Settings{}, fmt.Errorf("settings: class %d has unknown effect %q", i, c.Effect)
+		}
+		scope, ok := scopes[c.Scope]
+		if !ok && effect == balance.Keyed {
+			return balance.Settings{}, fmt.Errorf("settings: class %d has unknown scope %q", i, c.Scope)
+		}
+		class := balance.Class{OnTime: Duration(c.OnTime), GiveUp: Duration(c.GiveUp), Effect: effect,
+			Scope: scope, Window: Duration(c.Window), Worth: c.Worth}
+		if i < len(in.Family.MessageAim) {
+			class.MessageAim = Duration(in.Family.MessageAim[i])
+		}
+		s.Classes = append(s.Classes, class)
+	}
+	for i, c := range in.Customers {
+		t := balance.Tenant{Share: c.Portion, QuotaPerS: c.Quota}
+		if i < len(in.Family.Quota) {
+			t.Connections = in.Family.Quota[i]
+		}
+		s.Tenants = append(s.Tenants, t)
+	}
+	if in.Stats.How != "off" {
+		for _, f := range in.Stats.Fields {
+			s.Report = append(s.Report, fields[f])
+		}
+	}
+	return s, nil
+}
