Home by group where connections of one group share work

Cause: every server that holds any of a group pays for it; homes by client key spread each group over the fleet.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -262,10 +262,13 @@
 		r.Class = 0
 	}
 	c := &call{Request: r, deadline: now + r.Left, key: mix(r.Key), load: sane(r.Load)}
-	if r.Key == 0 {
+	switch {
+	case b.set.Groups && r.Group != 0: // every server that holds any of a group pays for all of it
+		c.key = mix(r.Group)
+	case r.Key == 0:
 		c.key = mix(r.ID)
 	}
-	c.flow = mix(c.key ^ r.Group<<8 ^ uint64(r.Class))
+	c.flow = mix(mix(r.Key) ^ r.Group<<8 ^ uint64(r.Class))
 	b.calls[r.ID] = c
 	return c
 }
