Learned limits on overloaded servers, refusal when none has room, cold budget phase

Cause: an overloaded server drops its connections, T falls, and they come straight back. A server that resets open connections, turns set-ups away or answers messages late now bears 15% less than it had; its keys pass on in rendezvous order. Limits grow 5% a quiet second. Types and sums moved to books.go.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,72 +21,17 @@
 	tickToken  = 1 << 63          // timers: upkeep; any other token is a request's deadline
 )
 
-// server is what this relay knows of a backend.
-type server struct {
-	Backend
-	hash    uint64
-	size    float64
-	news    time.Duration // when this relay learned of its present state
-	told    float64       // T: loads that notes or hints told
-	untold  []int         // T: connections by class whose load nobody told
-	conns   int
-	fresh   bool // joined while this relay lived; counts as mean T until its own T gets there
-	backup  *server
-	flagged bool
-	fails   float64       // recent share of attempts that failed here
-	until   time.Duration // suspended until then
-	bench   time.Duration // how long the next suspension lasts
-	budget  float64       // cold: connections' worth this relay may send now
-	filled  time.Duration // when budget was last topped up
-}
-
-// call is a request from its arrival until its last attempt has ended.
-type call struct {
-	Request
-	key       uint64 // what its home is hashed from
-	flow      uint64 // what its diversion is remembered under
-	deadline  time.Duration
-	tries     int
-	tried     [4]*server
-	at        *server // where the pending attempt or the open connection is
-	sent      time.Duration
-	load      float64 // told load, 0 when unknown
-	began     bool
-	done      bool // the final answer is out, or the client is gone
-	mayRan    bool // an earlier attempt may have acted
-	ranAt     time.Duration
-	ranServer *server
-}
-
-type diversion struct {
-	to *server
-	at time.Duration
-}
-
-// Balancer is one relay's decisions.
-type Balancer struct {
-	set     Settings
-	do      Actions
-	rng     *rand.Rand
-	servers map[BackendID]*server
-	ready   []*server // sorted by id
-	calls   map[uint64]*call
-	held    []*call
-	divert  map[uint64]diversion
-	order   []uint64 // keys of divert, oldest first
-	usual   []float64
-	seen    []float64 // per class: how many told loads usual rests on
-	began   time.Duration
-	cleared time.Duration
-	list    listState
-}
-
 // New starts a relay's decisions.
 func New(now time.Duration, seed uint64, s Settings, do Actions) *Balancer {
 	b := &Balancer{set: s, do: do, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		servers: map[BackendID]*server{}, calls: map[uint64]*call{}, divert: map[uint64]diversion{},
 		usual: make([]float64, len(s.Classes)), seen: make([]float64, len(s.Classes)),
 		began: now, cleared: now}
+	for _, class := range s.Classes {
+		if aim := float64(class.MessageAim) / float64(3*time.Millisecond); b.quickest == 0 || aim < b.quickest {
+			b.quickest = aim
+		}
+	}
 	if s.ListOnRequest {
 		b.ask(now)
 	}
@@ -133,7 +78,7 @@
 		score := rendezvous(c.key, s)
 		if score > bestScore && b.usable(now, s, c, true) {
 			best, bestScore = s, score
-		} else if best == nil && score > doubtfulScore && b.usable(now, s, c, false) {
+		} else if best == nil && score > doubtfulScore && b.room(s, c) && b.usable(now, s, c, false) {
 			doubtful, doubtfulScore = s, score
 		}
 	}
@@ -148,7 +93,7 @@
 	if s.State != StateReady || healthy && s.until > now || !b.allowed(now, s, c) || !b.takesCold(now, s, c) {
 		return false
 	}
-	return !healthy || !slices.Contains(c.tried[:min(c.tries, len(c.tried))], s)
+	return !healthy || b.room(s, c) && !slices.Contains(c.tried[:min(c.tries, len(c.tried))], s)
 }
 
 // rendezvous scores a server for a key; a larger server wins more keys, and a
@@ -158,47 +103,9 @@
 	return -s.size / math.Log(u)
 }
 
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // delta is Δ: connections' worth, relative to a server of mean size.
 func (b *Balancer) delta() float64 { return deltaConns * b.meanLoad() / b.meanSize() }
 
-// meanLoad is the load of a mean connection here, 1 while nothing is known.
-func (b *Balancer) meanLoad() float64 {
-	sum, n := 0.0, 0
-	for _, s := range b.ready {
-		sum += b.own(s)
-		n += s.conns
-	}
-	if n == 0 {
-		return b.classLoad(0)
-	}
-	return sum / float64(n)
-}
-
-func (b *Balancer) meanSize() float64 {
-	sum := 0.0
-	for _, s := range b.ready {
-		sum += s.size
-	}
-	return sum / float64(max(1, len(b.ready)))
-}
-
-// own is T: the load of this relay's connections on the server.
-func (b *Balancer) own(s *server) float64 {
-	t := s.told
-	for class, n := range s.untold {
-		t += float64(n) * b.classLoad(class)
-	}
-	return t
-}
-
 // load is T relative to the server's size. A new server counts as the mean until
 // its own T gets there: an empty one would draw every diversion at once.
 func (b *Balancer) load(s *server) float64 {
@@ -231,18 +138,6 @@
 	return sum / n
 }
 
-// remember keeps a diversion for mid-flow arrivals; the oldest go first.
-func (b *Balancer) remember(now time.Duration, c *call, to *server) {
-	if _, ok := b.divert[c.flow]; !ok {
-		b.order = append(b.order, c.flow)
-	}
-	b.divert[c.flow] = diversion{to, now}
-	for len(b.order) > maxDivert {
-		delete(b.divert, b.order[0])
-		b.order = b.order[1:]
-	}
-}
-
 // --- the life of a request -----------------------------------------------------
 
 // Request takes a new connection.
@@ -257,30 +152,6 @@
 	}
 }
 
-func (b *Balancer) newCall(now time.Duration, r Request) *call {
-	if r.Class < 0 || r.Class >= len(b.set.Classes) {
-		r.Class = 0
-	}
-	c := &call{Request: r, deadline: now + r.Left, key: mix(r.Key), load: sane(r.Load)}
-	switch {
-	case b.set.Groups && r.Group != 0: // every server that holds any of a group pays for all of it
-		c.key = mix(r.Group)
-	case r.Key == 0:
-		c.key = mix(r.ID)
-	}
-	c.flow = mix(mix(r.Key) ^ r.Group<<8 ^ uint64(r.Class))
-	b.calls[r.ID] = c
-	return c
-}
-
-// sane drops loads that are not a positive number.
-func sane(v float64) float64 {
-	if v > 0 && !math.IsInf(v, 0) {
-		return v
-	}
-	return 0
-}
-
 // Open takes over a connection that flows through this relay already.
 func (b *Balancer) Open(now time.Duration, r Request, id BackendID) {
 	if b.calls[r.ID] != nil {
@@ -298,6 +169,10 @@
 // try sends the next attempt, or holds the request while nothing can take it.
 func (b *Balancer) try(now time.Duration, c *call) {
 	s := b.place(now, c)
+	if s == nil && len(b.ready) > 0 { // every server is past what it bears: more would sink those it holds
+		b.answer(now, c)
+		return
+	}
 	if s == nil {
 		if !slices.Contains(b.held, c) {
 			b.held = append(b.held, c)
@@ -348,7 +223,7 @@
 func (b *Balancer) answer(now time.Duration, c *call) {
 	class := &b.set.Classes[c.Class]
 	if !c.mayRan || class.Effect == Safe || class.Effect == Keyed && class.Scope == ScopeAll {
-		b.do.Refuse(c.ID, 0)
+		b.do.Refuse(c.ID, min(b.set.MaxRetryAfter, beat))
 	} else {
 		b.do.Fail(c.ID)
 	}
@@ -381,6 +256,9 @@
 		return
 	}
 	s := c.at
+	if o.Status == Reset && c.began && s.State == StateReady || o.Status == Full {
+		b.overload(now, s, b.own(s))
+	}
 	b.detach(c)
 	if !c.began {
 		b.judge(now, s, o.Status)
@@ -416,6 +294,9 @@
 	if c == nil || c.at == nil {
 		return
 	}
+	if kind == NoteDelay && v > 2*b.quickest {
+		b.overload(now, c.at, b.own(c.at))
+	}
 	if kind == NoteLoad {
 		if v = sane(v); v > 0 {
 			s := c.at
@@ -429,31 +310,6 @@
 	}
 }
 
-// attach counts the connection in T.
-func (b *Balancer) attach(c *call, s *server) {
-	c.at = s
-	s.conns++
-	if c.load > 0 {
-		s.told += c.load
-	} else {
-		s.untold[c.Class]++
-	}
-}
-
-func (b *Balancer) detach(c *call) {
-	s := c.at
-	c.at = nil
-	s.conns--
-	if c.load > 0 {
-		s.told = max(0, s.told-c.load)
-	} else {
-		s.untold[c.Class]--
-	}
-	if s.conns == 0 {
-		s.told = 0
-	}
-}
-
 // Timer hears a timer that this module asked for.
 func (b *Balancer) Timer(now time.Duration, token uint64) {
 	if token == tickToken {
@@ -476,6 +332,7 @@
 		delete(b.divert, b.order[0])
 		b.order = b.order[1:]
 	}
+	b.recover(now)
 	b.watch(now)
 	b.retryHeld(now)
 }
@@ -533,6 +390,34 @@
 	s.until = now + s.bench
 }
 
+// room says whether a server that has shown overload can bear the connection.
+func (b *Balancer) room(s *server, c *call) bool {
+	return s.limit == 0 || s.conns == 0 || b.own(s)+b.loadOf(c) <= s.limit
+}
+
+// overload lowers what a server is held to bear. An overloaded server drops
+// connections or serves none in time; T falls as it drops them, and without a
+// limit they come straight back to it.
+func (b *Balancer) overload(now time.Duration, s *server, t float64) {
+	if now-s.hot < beat && s.limit > 0 {
+		return
+	}
+	s.hot = now
+	if s.limit > 0 {
+		t = min(t, s.limit)
+	}
+	s.limit = max(t*0.85, b.meanLoad())
+}
+
+// recover raises limits while a server shows no trouble.
+func (b *Balancer) recover(now time.Duration) {
+	for _, s := range b.ready {
+		if s.limit > 0 && now-s.hot >= 2*beat {
+			s.limit *= 1.05
+		}
+	}
+}
+
 // Probed hears a probe's answer.
 func (b *Balancer) Probed(now time.Duration, r Report) {}
 
@@ -568,7 +453,9 @@
 // relay has on others of its size, and filled no faster than over the warm-up.
 func (b *Balancer) refill(now time.Duration, s *server, warmth float64) {
 	if s.filled == 0 {
-		s.filled, s.budget = now, 1
+		// The first one comes after a random part of the gap: relays learn of a start
+		// together, and one connection from each at once would push the server over.
+		s.filled, s.budget = now, b.rng.Float64()
 	}
 	conns, size := 0.0, 0.0
 	for _, o := range b.ready {
@@ -592,13 +479,6 @@
 
 // --- the list -----------------------------------------------------------------------
 
-type listState struct {
-	asked  time.Duration // when the last call went out
-	again  time.Duration // when to ask again; 0: no need
-	wait   time.Duration // present back-off
-	opened bool
-}
-
 // List hears news of the backends.
 func (b *Balancer) List(now time.Duration, kind ListKind, lines []Backend) {
 	if kind == ListFailed {
--- /dev/null
+++ b/balance/books.go
@@ -0,0 +1,187 @@
+// Bookkeeping behind balance.go: what a relay remembers, and the sums over it.
+// Nothing here decides anything.
+
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// server is what this relay knows of a backend.
+type server struct {
+	Backend
+	hash    uint64
+	size    float64
+	news    time.Duration // when this relay learned of its present state
+	told    float64       // T: loads that notes or hints told
+	untold  []int         // T: connections by class whose load nobody told
+	conns   int
+	fresh   bool // joined while this relay lived; counts as mean T until its own T gets there
+	backup  *server
+	flagged bool
+	fails   float64       // recent share of attempts that failed here
+	until   time.Duration // suspended until then
+	bench   time.Duration // how long the next suspension lasts
+	limit   float64       // overload: the T that this server is seen to bear; 0: none seen
+	hot     time.Duration // when it last showed overload
+	budget  float64       // cold: connections' worth this relay may send now
+	filled  time.Duration // when budget was last topped up
+}
+
+// call is a request from its arrival until its last attempt has ended.
+type call struct {
+	Request
+	key       uint64 // what its home is hashed from
+	flow      uint64 // what its diversion is remembered under
+	deadline  time.Duration
+	tries     int
+	tried     [4]*server
+	at        *server // where the pending attempt or the open connection is
+	sent      time.Duration
+	load      float64 // told load, 0 when unknown
+	began     bool
+	done      bool // the final answer is out, or the client is gone
+	mayRan    bool // an earlier attempt may have acted
+	ranAt     time.Duration
+	ranServer *server
+}
+
+type diversion struct {
+	to *server
+	at time.Duration
+}
+
+// Balancer is one relay's decisions.
+type Balancer struct {
+	set      Settings
+	do       Actions
+	rng      *rand.Rand
+	servers  map[BackendID]*server
+	ready    []*server // sorted by id
+	calls    map[uint64]*call
+	held     []*call
+	divert   map[uint64]diversion
+	order    []uint64 // keys of divert, oldest first
+	usual    []float64
+	seen     []float64 // per class: how many told loads usual rests on
+	began    time.Duration
+	cleared  time.Duration
+	list     listState
+	quickest float64 // a third of the shortest message aim, in milliseconds
+}
+
+type listState struct {
+	asked  time.Duration // when the last call went out
+	again  time.Duration // when to ask again; 0: no need
+	wait   time.Duration // present back-off
+	opened bool
+}
+
+func (b *Balancer) newCall(now time.Duration, r Request) *call {
+	if r.Class < 0 || r.Class >= len(b.set.Classes) {
+		r.Class = 0
+	}
+	c := &call{Request: r, deadline: now + r.Left, key: mix(r.Key), load: sane(r.Load)}
+	switch {
+	case b.set.Groups && r.Group != 0: // every server that holds any of a group pays for all of it
+		c.key = mix(r.Group)
+	case r.Key == 0:
+		c.key = mix(r.ID)
+	}
+	c.flow = mix(mix(r.Key) ^ r.Group<<8 ^ uint64(r.Class))
+	b.calls[r.ID] = c
+	return c
+}
+
+// sane drops loads that are not a positive number.
+func sane(v float64) float64 {
+	if v > 0 && !math.IsInf(v, 0) {
+		return v
+	}
+	return 0
+}
+
+// attach counts the connection in T.
+func (b *Balancer) attach(c *call, s *server) {
+	c.at = s
+	s.conns++
+	if c.load > 0 {
+		s.told += c.load
+	} else {
+		s.untold[c.Class]++
+	}
+}
+
+func (b *Balancer) detach(c *call) {
+	s := c.at
+	c.at = nil
+	s.conns--
+	if c.load > 0 {
+		s.told = max(0, s.told-c.load)
+	} else {
+		s.untold[c.Class]--
+	}
+	if s.conns == 0 {
+		s.told = 0
+	}
+}
+
+// meanLoad is the load of a mean connection here, 1 while nothing is known.
+func (b *Balancer) meanLoad() float64 {
+	sum, n := 0.0, 0
+	for _, s := range b.ready {
+		sum += b.own(s)
+		n += s.conns
+	}
+	if n == 0 {
+		return b.classLoad(0)
+	}
+	return sum / float64(n)
+}
+
+func (b *Balancer) meanSize() float64 {
+	sum := 0.0
+	for _, s := range b.ready {
+		sum += s.size
+	}
+	return sum / float64(max(1, len(b.ready)))
+}
+
+// own is T: the load of this relay's connections on the server.
+func (b *Balancer) own(s *server) float64 {
+	t := s.told
+	for class, n := range s.untold {
+		t += float64(n) * b.classLoad(class)
+	}
+	return t
+}
+
+// remember keeps a diversion for mid-flow arrivals; the oldest go first.
+func (b *Balancer) remember(now time.Duration, c *call, to *server) {
+	if _, ok := b.divert[c.flow]; !ok {
+		b.order = append(b.order, c.flow)
+	}
+	b.divert[c.flow] = diversion{to, now}
+	for len(b.order) > maxDivert {
+		delete(b.divert, b.order[0])
+		b.order = b.order[1:]
+	}
+}
+
+func (b *Balancer) loadOf(c *call) float64 {
+	if c.load > 0 {
+		return c.load
+	}
+	return b.classLoad(c.Class)
+}
+
+// mix spreads the bits of a number; equal numbers mix alike on every relay.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
