Move the heaviest connections off a server past its limit

Cause: a limit stops new connections but leaves the overload in place until connections end. A move costs a client well under a second; staying costs it every message.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -407,6 +407,37 @@
 		t = min(t, s.limit)
 	}
 	s.limit = max(t*0.85, b.meanLoad())
+	b.relieve(now, s)
+}
+
+// relieve moves the heaviest connections off a server until what stays is within
+// its limit, while another server has room for them. Left there, none of its
+// connections would be served in time.
+func (b *Balancer) relieve(now time.Duration, s *server) {
+	for excess := b.own(s) - s.limit; excess > 0; {
+		var pick *call
+		for _, c := range s.open {
+			if c.began && !c.moved && (pick == nil || b.loadOf(c) > b.loadOf(pick)) {
+				pick = c
+			}
+		}
+		if pick == nil || !b.otherRoom(now, s, pick) {
+			return
+		}
+		pick.moved = true
+		excess -= b.loadOf(pick)
+		b.do.Move(pick.ID)
+	}
+}
+
+// otherRoom says whether a server other than s could take the connection.
+func (b *Balancer) otherRoom(now time.Duration, s *server, c *call) bool {
+	for _, o := range b.ready {
+		if o != s && o.until <= now && b.room(o, c) && b.warmth(now, o) >= 1 {
+			return true
+		}
+	}
+	return false
 }
 
 // recover raises limits while a server shows no trouble.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -315,3 +315,61 @@
 		t.Fatalf("asked %d times in 3 s", n)
 	}
 }
+
+// loaded opens n connections of one group, one second apart in id, and returns their server.
+func loaded(t *testing.T, b *Balancer, r *recorder, from, n uint64, group uint64) BackendID {
+	t.Helper()
+	var to BackendID
+	for id := from; id < from+n; id++ {
+		to = sent(t, b, r, sec, Request{ID: id, Key: id, Group: group})
+		b.Began(sec, Outcome{ID: id})
+	}
+	return to
+}
+
+// An overloaded server drops connections; without a limit they come straight back.
+func TestDroppedConnectionsDoNotStormBack(t *testing.T) {
+	s := settings()
+	s.Groups = true
+	b, r := start(t, s, 6)
+	home := sent(t, b, r, sec, Request{ID: 1, Key: 1, Group: 7})
+	b.Began(sec, Outcome{ID: 1})
+	b.Outcome(2*sec, Outcome{ID: 1, Backend: home, Status: Reset, Closed: true})
+	back := 0
+	for id := uint64(2); id < 12; id++ {
+		if sent(t, b, r, 2*sec, Request{ID: id, Key: id, Group: 7}) == home {
+			back++
+		}
+	}
+	if back > 1 {
+		t.Errorf("%d of 10 went back to the server that had dropped one", back)
+	}
+}
+
+// A server whose messages are late serves nobody; its heaviest connections move,
+// but only while another server has room.
+func TestOverloadedServerIsRelieved(t *testing.T) {
+	s := settings()
+	s.Groups = true
+	b, r := start(t, s, 6)
+	loaded(t, b, r, 1, 10, 7)
+	c := b.calls[1]
+	b.Note(sec, 1, NoteLoad, 1000)
+	for id := uint64(2); id <= 10; id++ {
+		b.Note(sec, id, NoteLoad, 500)
+	}
+	r.clear()
+	b.Note(2*sec, 1, NoteDelay, 500)
+	moves := r.take("move")
+	if len(moves) == 0 || moves[0].id != 1 || len(moves) >= len(c.at.open) {
+		t.Fatalf("moved %v of %d", moves, len(c.at.open))
+	}
+
+	b, r = start(t, s, 1)
+	loaded(t, b, r, 1, 10, 7)
+	r.clear()
+	b.Note(2*sec, 1, NoteDelay, 500)
+	if moves := r.take("move"); len(moves) != 0 {
+		t.Fatalf("moved %v though there is nowhere to go", moves)
+	}
+}
--- a/balance/books.go
+++ b/balance/books.go
@@ -18,7 +18,8 @@
 	told    float64       // T: loads that notes or hints told
 	untold  []int         // T: connections by class whose load nobody told
 	conns   int
-	fresh   bool // joined while this relay lived; counts as mean T until its own T gets there
+	open    []*call // the pending and open connections, in no meaningful order
+	fresh   bool    // joined while this relay lived; counts as mean T until its own T gets there
 	backup  *server
 	flagged bool
 	fails   float64       // recent share of attempts that failed here
@@ -41,6 +42,8 @@
 	at        *server // where the pending attempt or the open connection is
 	sent      time.Duration
 	load      float64 // told load, 0 when unknown
+	slot      int     // its index in at.open
+	moved     bool
 	began     bool
 	done      bool // the final answer is out, or the client is gone
 	mayRan    bool // an earlier attempt may have acted
@@ -105,7 +108,8 @@
 
 // attach counts the connection in T.
 func (b *Balancer) attach(c *call, s *server) {
-	c.at = s
+	c.at, c.slot = s, len(s.open)
+	s.open = append(s.open, c)
 	s.conns++
 	if c.load > 0 {
 		s.told += c.load
@@ -116,6 +120,10 @@
 
 func (b *Balancer) detach(c *call) {
 	s := c.at
+	last := s.open[len(s.open)-1]
+	s.open[c.slot], last.slot = last, c.slot
+	s.open[len(s.open)-1] = nil
+	s.open = s.open[:len(s.open)-1]
 	c.at = nil
 	s.conns--
 	if c.load > 0 {
