--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,7 +26,7 @@
 	b := &Balancer{set: s, do: do, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		servers: map[BackendID]*server{}, calls: map[uint64]*call{}, divert: map[uint64]diversion{},
 		usual: make([]float64, len(s.Classes)), seen: make([]float64, len(s.Classes)),
-		began: now, cleared: now}
+		began: now, cleared: now, budget: 1}
 	for _, class := range s.Classes {
 		if aim := float64(class.MessageAim) / float64(3*time.Millisecond); b.quickest == 0 || aim < b.quickest {
 			b.quickest = aim
@@ -146,6 +146,7 @@
 		return
 	}
 	c := b.newCall(now, r)
+	b.budget = min(b.budget+0.2, float64(len(b.ready)))
 	b.try(now, c)
 	if !c.done {
 		b.do.After(r.ID, max(0, r.Left-b.set.Tick))
@@ -269,9 +270,10 @@
 	switch {
 	case c.done || o.Closed || c.began:
 		b.finish(c)
-	case c.tries >= b.set.TryLimit || now+b.set.Tick >= c.deadline || !b.mayRepeat(now, c):
+	case c.tries >= b.set.TryLimit || now+b.set.Tick >= c.deadline || !b.mayRepeat(now, c) || b.budget < 1:
 		b.answer(now, c)
 	default:
+		b.budget--
 		b.try(now, c)
 	}
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -373,3 +373,26 @@
 		t.Fatalf("moved %v though there is nowhere to go", moves)
 	}
 }
+
+// When all servers fail, repeats multiply the work that made them fail.
+func TestRepeatsAreBudgeted(t *testing.T) {
+	b, r := start(t, settings(), 10)
+	sends := 0
+	for id := uint64(1); id <= 100; id++ {
+		r.clear()
+		b.Request(sec, Request{ID: id, Key: id, Left: 2 * sec})
+		for try := range 4 {
+			for _, a := range r.take("send") {
+				r.clear()
+				sends++
+				b.Outcome(sec, Outcome{ID: id, Attempt: try, Backend: a.to, Status: Error})
+			}
+		}
+		if n := len(r.take("refuse")); n != 1 {
+			t.Fatalf("request %d: %d final answers", id, n)
+		}
+	}
+	if sends > 130 {
+		t.Errorf("%d attempts for 100 requests that all fail", sends)
+	}
+}
--- a/balance/books.go
+++ b/balance/books.go
@@ -58,6 +58,7 @@
 
 // Balancer is one relay's decisions.
 type Balancer struct {
+	budget   float64 // attempts beyond the first that requests may still make
 	set      Settings
 	do       Actions
 	rng      *rand.Rand
