--- a/balance/balance.go
+++ b/balance/balance.go
@@ -169,6 +169,13 @@
 
 // try sends the next attempt, or holds the request while nothing can take it.
 func (b *Balancer) try(now time.Duration, c *call) {
+	// When most set-ups fail, whatever the servers share is failing too: ask no more
+	// than twice what it lets through, or the repeats keep it down.
+	if b.rng.Float64() < (b.asked-2*b.stood)/(b.asked+1) {
+		b.asked++
+		b.answer(now, c)
+		return
+	}
 	s := b.place(now, c)
 	if s == nil && len(b.ready) > 0 { // every server is past what it bears: more would sink those it holds
 		b.answer(now, c)
@@ -185,6 +192,7 @@
 	}
 	c.tries++
 	c.sent = now
+	b.asked++
 	b.attach(c, s)
 	b.spend(now, s, c)
 	b.do.Send(c.ID, s.ID, b.patience(now, c))
@@ -246,6 +254,7 @@
 func (b *Balancer) Began(now time.Duration, o Outcome) {
 	if c := b.calls[o.ID]; c != nil && c.at != nil && o.Attempt == c.tries-1 {
 		c.began = true
+		b.stood++
 		b.judge(now, c.at, OK)
 	}
 }
@@ -334,6 +343,7 @@
 		delete(b.divert, b.order[0])
 		b.order = b.order[1:]
 	}
+	b.asked, b.stood = b.asked*0.8, b.stood*0.8
 	b.recover(now)
 	b.watch(now)
 	b.retryHeld(now)
--- a/balance/books.go
+++ b/balance/books.go
@@ -58,6 +58,8 @@
 
 // Balancer is one relay's decisions.
 type Balancer struct {
+	asked    float64 // recent attempts, halving over a few beats
+	stood    float64 // and those of them that came to stand
 	budget   float64 // attempts beyond the first that requests may still make
 	set      Settings
 	do       Actions
