--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,6 +17,7 @@
 	deltaConns = 2.0              // Δ in connections' worth
 	clearEvery = 10 * time.Second // B and F are forgotten this often
 	beat       = time.Second      // the rhythm of upkeep
+	headroom   = 0.85             // the share of what a server can do that it is filled to
 	maxDivert  = 1 << 14          // diverted connections remembered
 	tickToken  = 1 << 63          // timers: upkeep; any other token is a request's deadline
 )
@@ -26,7 +27,8 @@
 	b := &Balancer{set: s, do: do, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		servers: map[BackendID]*server{}, calls: map[uint64]*call{}, divert: map[uint64]diversion{},
 		usual: make([]float64, len(s.Classes)), seen: make([]float64, len(s.Classes)),
-		began: now, cleared: now, budget: 1}
+		began: now, cleared: now, budget: 1,
+		share: slices.Index(s.Report, FieldLoadShare)}
 	for _, class := range s.Classes {
 		if aim := float64(class.MessageAim) / float64(3*time.Millisecond); b.quickest == 0 || aim < b.quickest {
 			b.quickest = aim
@@ -169,13 +171,6 @@
 
 // try sends the next attempt, or holds the request while nothing can take it.
 func (b *Balancer) try(now time.Duration, c *call) {
-	// When most set-ups fail, whatever the servers share is failing too: ask no more
-	// than twice what it lets through, or the repeats keep it down.
-	if b.rng.Float64() < (b.asked-2*b.stood)/(b.asked+1) {
-		b.asked++
-		b.answer(now, c)
-		return
-	}
 	s := b.place(now, c)
 	if s == nil && len(b.ready) > 0 { // every server is past what it bears: more would sink those it holds
 		b.answer(now, c)
@@ -192,7 +187,6 @@
 	}
 	c.tries++
 	c.sent = now
-	b.asked++
 	b.attach(c, s)
 	b.spend(now, s, c)
 	b.do.Send(c.ID, s.ID, b.patience(now, c))
@@ -254,7 +248,6 @@
 func (b *Balancer) Began(now time.Duration, o Outcome) {
 	if c := b.calls[o.ID]; c != nil && c.at != nil && o.Attempt == c.tries-1 {
 		c.began = true
-		b.stood++
 		b.judge(now, c.at, OK)
 	}
 }
@@ -343,7 +336,6 @@
 		delete(b.divert, b.order[0])
 		b.order = b.order[1:]
 	}
-	b.asked, b.stood = b.asked*0.8, b.stood*0.8
 	b.recover(now)
 	b.watch(now)
 	b.retryHeld(now)
@@ -455,14 +447,34 @@
 // recover raises limits while a server shows no trouble.
 func (b *Balancer) recover(now time.Duration) {
 	for _, s := range b.ready {
-		if s.limit > 0 && now-s.hot >= 2*beat {
+		if s.limit == 0 {
+			continue
+		}
+		if now-s.hot >= 2*beat {
 			s.limit *= 1.05
 		}
+		if b.set.Probes && b.share >= 0 && !s.probing { // the answer sets the limit
+			s.probing = true
+			b.do.Probe(s.ID)
+		}
 	}
 }
 
-// Probed hears a probe's answer.
-func (b *Balancer) Probed(now time.Duration, r Report) {}
+// Probed hears a probe's answer. A limited server that tells how full it is gets
+// the limit that fills it: guessing upwards takes long after every trouble.
+func (b *Balancer) Probed(now time.Duration, r Report) {
+	s := b.servers[r.Backend]
+	if s == nil {
+		return
+	}
+	s.probing = false
+	if r.Status != OK || b.share < 0 || b.share >= len(r.Load) || s.limit == 0 {
+		return
+	}
+	if full := sane(float64(r.Load[b.share])); full > 0 && b.own(s) > 0 {
+		s.limit = max(b.own(s)*headroom/full, b.meanLoad())
+	}
+}
 
 // Peer hears another relay.
 func (b *Balancer) Peer(now time.Duration, from int, data []byte) {}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -396,3 +396,30 @@
 		t.Errorf("%d attempts for 100 requests that all fail", sends)
 	}
 }
+
+// Where probes tell how full a server is, a limited one is asked each beat and the
+// answer sets its limit; nobody else is asked.
+func TestProbesSetTheLimitOfLimitedServersOnly(t *testing.T) {
+	s := settings()
+	s.Groups, s.Probes, s.Report = true, true, []Field{FieldUtilization, FieldLoadShare}
+	b, r := start(t, s, 6)
+	loaded(t, b, r, 1, 4, 7)
+	b.Timer(2*sec, tickToken)
+	if got := r.take("probe"); len(got) != 0 {
+		t.Fatalf("probed without need: %v", got)
+	}
+	hot := b.calls[1].at
+	b.Note(3*sec, 1, NoteDelay, 500)
+	before := hot.limit
+	r.clear()
+	b.Timer(4*sec, tickToken)
+	if got := r.take("probe"); len(got) != 1 || got[0].to != hot.ID {
+		t.Fatalf("probes: %v", got)
+	}
+	b.Probed(4*sec, Report{Backend: hot.ID, Load: []float32{0.5, 0.2}})
+	if hot.limit <= before {
+		t.Errorf("a server with room keeps limit %v", hot.limit)
+	}
+	b.Probed(4*sec, Report{Backend: hot.ID, Load: []float32{0.5}})
+	b.Probed(4*sec, Report{Backend: hot.ID, Status: Timeout})
+}
--- a/balance/books.go
+++ b/balance/books.go
@@ -26,6 +26,7 @@
 	until   time.Duration // suspended until then
 	bench   time.Duration // how long the next suspension lasts
 	limit   float64       // overload: the T that this server is seen to bear; 0: none seen
+	probing bool          // a probe is out
 	hot     time.Duration // when it last showed overload
 	budget  float64       // cold: connections' worth this relay may send now
 	filled  time.Duration // when budget was last topped up
@@ -58,8 +59,7 @@
 
 // Balancer is one relay's decisions.
 type Balancer struct {
-	asked    float64 // recent attempts, halving over a few beats
-	stood    float64 // and those of them that came to stand
+	share    int     // where a load report tells load over capacity; below 0: nowhere
 	budget   float64 // attempts beyond the first that requests may still make
 	set      Settings
 	do       Actions
