--- a/balance/balance.go
+++ b/balance/balance.go
@@ -473,6 +473,10 @@
 	}
 	if full := sane(float64(r.Load[b.share])); full > 0 && b.own(s) > 0 {
 		s.limit = max(b.own(s)*headroom/full, b.meanLoad())
+		if full > 1 {
+			s.hot = now
+			b.relieve(now, s)
+		}
 	}
 }
 
