--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,7 +17,7 @@
 	deltaConns = 2.0              // Δ in connections' worth
 	clearEvery = 10 * time.Second // B and F are forgotten this often
 	beat       = time.Second      // the rhythm of upkeep
-	headroom   = 0.85             // the share of what a server can do that it is filled to
+	headroom   = 0.75             // the share of what a server can do that it is filled to
 	maxDivert  = 1 << 14          // diverted connections remembered
 	tickToken  = 1 << 63          // timers: upkeep; any other token is a request's deadline
 )
@@ -473,7 +473,7 @@
 	}
 	if full := sane(float64(r.Load[b.share])); full > 0 && b.own(s) > 0 {
 		s.limit = max(b.own(s)*headroom/full, b.meanLoad())
-		if full > 1 {
+		if full > 0.9 {
 			s.hot = now
 			b.relieve(now, s)
 		}
