--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	deltaConns = 2.0              // Δ in connections' worth
+	deltaConns = 4.0              // Δ in connections' worth
 	clearEvery = 10 * time.Second // B and F are forgotten this often
 	beat       = time.Second      // the rhythm of upkeep
 	headroom   = 0.75             // the share of what a server can do that it is filled to
@@ -49,11 +49,16 @@
 	if home == nil {
 		return nil
 	}
-	if c.MidFlow && c.tries == 0 { // the recorded server or, without a record, home
+	// Stateful: what belongs to something already placed follows it, to the recorded
+	// server or, without a record, home. Mid-flow packets would be reset elsewhere;
+	// a group split over two servers is paid for by both.
+	if c.MidFlow && c.tries == 0 || c.grouped {
 		if d, ok := b.divert[c.flow]; ok && b.usable(now, d.to, c, true) {
 			return d.to
 		}
-		return home
+		if c.MidFlow || home.groups[c.key] > 0 {
+			return home
+		}
 	}
 	backup := home.backup
 	if backup == nil {
@@ -298,7 +303,7 @@
 	if c == nil || c.at == nil {
 		return
 	}
-	if kind == NoteDelay && v > 2*b.quickest {
+	if kind == NoteDelay && v > b.quickest {
 		b.overload(now, c.at, b.own(c.at))
 	}
 	if kind == NoteLoad {
@@ -582,7 +587,8 @@
 	s := b.servers[l.ID]
 	if s == nil {
 		s = &server{hash: mix(uint64(l.ID) * 0x9e3779b97f4a7c15), untold: make([]int, len(b.set.Classes)),
-			fresh: now > b.began && l.State == StateReady, news: now}
+			groups: map[uint64]int{},
+			fresh:  now > b.began && l.State == StateReady, news: now}
 		b.servers[l.ID] = s
 	}
 	if l.State == StateReady && l.ReadyAt != s.ReadyAt { // a new process: old sins are void, and it is cold
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -423,3 +423,22 @@
 	b.Probed(4*sec, Report{Backend: hot.ID, Load: []float32{0.5}})
 	b.Probed(4*sec, Report{Backend: hot.ID, Status: Timeout})
 }
+
+// A group split over two servers is paid for by both: once placed, its members
+// stay together, home or diverted.
+func TestGroupsStayWhole(t *testing.T) {
+	s := settings()
+	s.Groups = true
+	b, r := start(t, s, 8)
+	for group := uint64(1); group <= 30; group++ {
+		to := loaded(t, b, r, group*100, 1, group)
+		for id := group*100 + 1; id < group*100+8; id++ {
+			if next := loaded(t, b, r, id, 1, group); next != to {
+				t.Fatalf("group %d: %d after %d", group, next, to)
+			}
+		}
+	}
+	if len(b.divert) == 0 {
+		t.Error("nothing was ever diverted: the mechanism is not at work")
+	}
+}
--- a/balance/books.go
+++ b/balance/books.go
@@ -18,8 +18,9 @@
 	told    float64       // T: loads that notes or hints told
 	untold  []int         // T: connections by class whose load nobody told
 	conns   int
-	open    []*call // the pending and open connections, in no meaningful order
-	fresh   bool    // joined while this relay lived; counts as mean T until its own T gets there
+	groups  map[uint64]int // its connections by key
+	open    []*call        // the pending and open connections, in no meaningful order
+	fresh   bool           // joined while this relay lived; counts as mean T until its own T gets there
 	backup  *server
 	flagged bool
 	fails   float64       // recent share of attempts that failed here
@@ -45,6 +46,7 @@
 	load      float64 // told load, 0 when unknown
 	slot      int     // its index in at.open
 	moved     bool
+	grouped   bool
 	began     bool
 	done      bool // the final answer is out, or the client is gone
 	mayRan    bool // an earlier attempt may have acted
@@ -92,11 +94,14 @@
 	c := &call{Request: r, deadline: now + r.Left, key: mix(r.Key), load: sane(r.Load)}
 	switch {
 	case b.set.Groups && r.Group != 0: // every server that holds any of a group pays for all of it
-		c.key = mix(r.Group)
+		c.key, c.grouped = mix(r.Group), true
 	case r.Key == 0:
 		c.key = mix(r.ID)
 	}
-	c.flow = mix(mix(r.Key) ^ r.Group<<8 ^ uint64(r.Class))
+	c.flow = c.key
+	if !c.grouped {
+		c.flow = mix(c.key ^ uint64(r.Class))
+	}
 	b.calls[r.ID] = c
 	return c
 }
@@ -113,6 +118,7 @@
 func (b *Balancer) attach(c *call, s *server) {
 	c.at, c.slot = s, len(s.open)
 	s.open = append(s.open, c)
+	s.groups[c.key]++
 	s.conns++
 	if c.load > 0 {
 		s.told += c.load
@@ -128,6 +134,9 @@
 	s.open[len(s.open)-1] = nil
 	s.open = s.open[:len(s.open)-1]
 	c.at = nil
+	if s.groups[c.key]--; s.groups[c.key] == 0 {
+		delete(s.groups, c.key)
+	}
 	s.conns--
 	if c.load > 0 {
 		s.told = max(0, s.told-c.load)
