--- a/balance/balance.go
+++ b/balance/balance.go
@@ -419,15 +419,19 @@
 	b.relieve(now, s)
 }
 
-// relieve moves the heaviest connections off a server until what stays is within
-// its limit, while another server has room for them. Left there, none of its
-// connections would be served in time.
+// relieve moves connections off a server until what stays is within its limit,
+// while another server has room for them: left there, none would be served in
+// time. Heavy ones go first, and those with few of their group here: a group that
+// is split costs both servers, one that leaves whole costs neither.
 func (b *Balancer) relieve(now time.Duration, s *server) {
 	for excess := b.own(s) - s.limit; excess > 0; {
 		var pick *call
+		best := 0.0
 		for _, c := range s.open {
-			if c.began && !c.moved && (pick == nil || b.loadOf(c) > b.loadOf(pick)) {
-				pick = c
+			if c.began && !c.moved {
+				if v := b.loadOf(c) / float64(s.groups[c.key]); v > best {
+					pick, best = c, v
+				}
 			}
 		}
 		if pick == nil || !b.otherRoom(now, s, pick) {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -442,3 +442,27 @@
 		t.Error("nothing was ever diverted: the mechanism is not at work")
 	}
 }
+
+// A group that leaves whole takes its shared cost along; splitting a large one adds to it.
+func TestReliefTakesSmallGroupsFirst(t *testing.T) {
+	s := settings()
+	s.Groups = true
+	b, r := start(t, s, 2)
+	var crowd *server
+	for id := uint64(1); id <= 12; id++ { // a large group on one server
+		loaded(t, b, r, id, 1, 7)
+		crowd = b.calls[1].at
+	}
+	lone := uint64(0)
+	for group := uint64(100); lone == 0; group++ { // and one of a kind
+		loaded(t, b, r, group, 1, group)
+		if b.calls[group].at == crowd {
+			lone = group
+		}
+	}
+	r.clear()
+	b.Note(2*sec, 1, NoteDelay, 500)
+	if moves := r.take("move"); len(moves) == 0 || moves[0].id != lone {
+		t.Errorf("moved %v, want %d first", moves, lone)
+	}
+}
