--- a/balance/balance.go
+++ b/balance/balance.go
@@ -303,7 +303,7 @@
 	if c == nil || c.at == nil {
 		return
 	}
-	if kind == NoteDelay && v > b.quickest {
+	if kind == NoteDelay && v > b.quickest && (c.at.limit == 0 || b.share < 0 || !b.set.Probes) {
 		b.overload(now, c.at, b.own(c.at))
 	}
 	if kind == NoteLoad {
