Keys that their home passes on go first to a server that holds some of the group

Cause: room at overloaded servers comes and goes, and each member of an overflowing group landed on another one, each paying for the group.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,6 +18,7 @@
 	clearEvery = 10 * time.Second // B and F are forgotten this often
 	beat       = time.Second      // the rhythm of upkeep
 	headroom   = 0.75             // the share of what a server can do that it is filled to
+	holds      = 1e12             // added to a rendezvous score, it outranks any without
 	maxDivert  = 1 << 14          // diverted connections remembered
 	tickToken  = 1 << 63          // timers: upkeep; any other token is a request's deadline
 )
@@ -76,20 +77,30 @@
 }
 
 // home is the first server in the key's rendezvous order that takes it. Servers
-// that are suspended or cold pass their keys on; when that leaves none,
-// suspensions are void, since a doubtful server beats none.
+// that are suspended, overloaded or cold pass their keys on, first to one that
+// holds some of the group already. When that leaves none, suspensions are void,
+// since a doubtful server beats none.
 func (b *Balancer) home(now time.Duration, c *call) *server {
-	var best, doubtful *server
-	var bestScore, doubtfulScore float64
+	var first, best, doubtful *server
+	var firstScore, bestScore, doubtfulScore float64
 	for _, s := range b.ready {
 		score := rendezvous(c.key, s)
+		if score > firstScore {
+			first, firstScore = s, score
+		}
+		if c.grouped && s.groups[c.key] > 0 {
+			score += holds
+		}
 		if score > bestScore && b.usable(now, s, c, true) {
 			best, bestScore = s, score
 		} else if best == nil && score > doubtfulScore && b.room(s, c) && b.usable(now, s, c, false) {
 			doubtful, doubtfulScore = s, score
 		}
 	}
-	if best == nil {
+	switch {
+	case first != nil && b.usable(now, first, c, true):
+		return first
+	case best == nil:
 		return doubtful
 	}
 	return best
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -466,3 +466,26 @@
 		t.Errorf("moved %v, want %d first", moves, lone)
 	}
 }
+
+// When its home is past its limit, a group overflows to one server, not to all that have room.
+func TestOverflowKeepsAGroupTogether(t *testing.T) {
+	s := settings()
+	s.Groups = true
+	b, r := start(t, s, 12)
+	home := loaded(t, b, r, 1, 6, 7)
+	b.Note(2*sec, 1, NoteDelay, 500)
+	seen := map[BackendID]bool{}
+	for id := uint64(100); id < 140; id++ {
+		to := loaded(t, b, r, id, 1, 7)
+		if to != home {
+			seen[to] = true
+		}
+		// Room at the others comes and goes with what else they hold.
+		b.servers[BackendID(id%12+1)].limit = float64(id % 5)
+		b.servers[BackendID(id%12+1)].hot = sec
+		b.servers[to].limit = 1e9
+	}
+	if len(seen) > 2 {
+		t.Errorf("the group's overflow is on %d servers", len(seen))
+	}
+}
