--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,7 +31,8 @@
 		began: now, cleared: now, budget: 1,
 		share: slices.Index(s.Report, FieldLoadShare)}
 	for _, class := range s.Classes {
-		if aim := float64(class.MessageAim) / float64(3*time.Millisecond); b.quickest == 0 || aim < b.quickest {
+		aim := float64(class.MessageAim) / float64(3*time.Millisecond)
+		if b.quickest == 0 || aim < b.quickest {
 			b.quickest = aim
 		}
 	}
@@ -108,7 +109,10 @@
 
 // usable says whether the connection may go to the server at all.
 func (b *Balancer) usable(now time.Duration, s *server, c *call, healthy bool) bool {
-	if s.State != StateReady || healthy && s.until > now || !b.allowed(now, s, c) || !b.takesCold(now, s, c) {
+	if s.State != StateReady || healthy && s.until > now {
+		return false
+	}
+	if !b.allowed(now, s, c) || !b.takesCold(now, s, c) {
 		return false
 	}
 	return !healthy || b.room(s, c) && !slices.Contains(c.tried[:min(c.tries, len(c.tried))], s)
@@ -188,7 +192,7 @@
 // try sends the next attempt, or holds the request while nothing can take it.
 func (b *Balancer) try(now time.Duration, c *call) {
 	s := b.place(now, c)
-	if s == nil && len(b.ready) > 0 { // every server is past what it bears: more would sink those it holds
+	if s == nil && len(b.ready) > 0 { // all are past what they bear: more would sink those they hold
 		b.answer(now, c)
 		return
 	}
@@ -288,7 +292,8 @@
 	switch {
 	case c.done || o.Closed || c.began:
 		b.finish(c)
-	case c.tries >= b.set.TryLimit || now+b.set.Tick >= c.deadline || !b.mayRepeat(now, c) || b.budget < 1:
+	case c.tries >= b.set.TryLimit || now+b.set.Tick >= c.deadline,
+		!b.mayRepeat(now, c) || b.budget < 1:
 		b.answer(now, c)
 	default:
 		b.budget--
@@ -314,7 +319,8 @@
 	if c == nil || c.at == nil {
 		return
 	}
-	if kind == NoteDelay && v > b.quickest && (c.at.limit == 0 || b.share < 0 || !b.set.Probes) {
+	reports := b.set.Probes && b.share >= 0
+	if kind == NoteDelay && v > b.quickest && (c.at.limit == 0 || !reports) {
 		b.overload(now, c.at, b.own(c.at))
 	}
 	if kind == NoteLoad {
@@ -601,12 +607,13 @@
 func (b *Balancer) learn(now time.Duration, l Backend) *server {
 	s := b.servers[l.ID]
 	if s == nil {
-		s = &server{hash: mix(uint64(l.ID) * 0x9e3779b97f4a7c15), untold: make([]int, len(b.set.Classes)),
+		s = &server{hash: mix(uint64(l.ID) * 0x9e3779b97f4a7c15),
+			untold: make([]int, len(b.set.Classes)),
 			groups: map[uint64]int{},
 			fresh:  now > b.began && l.State == StateReady, news: now}
 		b.servers[l.ID] = s
 	}
-	if l.State == StateReady && l.ReadyAt != s.ReadyAt { // a new process: old sins are void, and it is cold
+	if l.State == StateReady && l.ReadyAt != s.ReadyAt { // a new process: old sins are void
 		s.fails, s.until, s.bench, s.filled = 0, 0, 0, 0
 	}
 	if l.State != s.State {
