Relief moves connections even when no other server has room

Cause: in overload of the whole fleet nothing was shed, and all connections of all servers missed their aim.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -433,14 +433,14 @@
 		t = min(t, s.limit)
 	}
 	s.limit = max(t*0.85, b.meanLoad())
-	b.relieve(now, s)
+	b.relieve(s)
 }
 
-// relieve moves connections off a server until what stays is within its limit,
-// while another server has room for them: left there, none would be served in
-// time. Heavy ones go first, and those with few of their group here: a group that
-// is split costs both servers, one that leaves whole costs neither.
-func (b *Balancer) relieve(now time.Duration, s *server) {
+// relieve moves connections off a server until what stays is within its limit:
+// left there, none would be served in time, and with no room elsewhere some
+// served still beat none. Heavy ones go first, and those with few of their group
+// here: a group that is split costs both servers, one that leaves whole neither.
+func (b *Balancer) relieve(s *server) {
 	for excess := b.own(s) - s.limit; excess > 0; {
 		var pick *call
 		best := 0.0
@@ -451,7 +451,7 @@
 				}
 			}
 		}
-		if pick == nil || !b.otherRoom(now, s, pick) {
+		if pick == nil {
 			return
 		}
 		pick.moved = true
@@ -460,16 +460,6 @@
 	}
 }
 
-// otherRoom says whether a server other than s could take the connection.
-func (b *Balancer) otherRoom(now time.Duration, s *server, c *call) bool {
-	for _, o := range b.ready {
-		if o != s && o.until <= now && b.room(o, c) && b.warmth(now, o) >= 1 {
-			return true
-		}
-	}
-	return false
-}
-
 // recover raises limits while a server shows no trouble.
 func (b *Balancer) recover(now time.Duration) {
 	for _, s := range b.ready {
@@ -501,7 +491,7 @@
 		s.limit = max(b.own(s)*headroom/full, b.meanLoad())
 		if full > 0.9 {
 			s.hot = now
-			b.relieve(now, s)
+			b.relieve(s)
 		}
 	}
 }
