Refuse over-share requests while half the servers are near their limits

Cause: in overload everything was refused or dropped alike, though traffic beyond a tenant's share is worth a tenth or a fifth.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,6 +28,7 @@
 	b := &Balancer{set: s, do: do, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		servers: map[BackendID]*server{}, calls: map[uint64]*call{}, divert: map[uint64]diversion{},
 		usual: make([]float64, len(s.Classes)), seen: make([]float64, len(s.Classes)),
+		taken: make([]int, max(1, len(s.Tenants))),
 		began: now, cleared: now, budget: 1,
 		share: slices.Index(s.Report, FieldLoadShare)}
 	for _, class := range s.Classes {
@@ -192,6 +193,10 @@
 // try sends the next attempt, or holds the request while nothing can take it.
 func (b *Balancer) try(now time.Duration, c *call) {
 	s := b.place(now, c)
+	if s != nil && b.overShare(c) {
+		b.answer(now, c)
+		return
+	}
 	if s == nil && len(b.ready) > 0 { // all are past what they bear: more would sink those they hold
 		b.answer(now, c)
 		return
@@ -212,6 +217,26 @@
 	b.do.Send(c.ID, s.ID, b.patience(now, c))
 }
 
+// overShare says whether the request's tenant holds its share of connections here
+// already while half the servers are near their limits: what it gets beyond its
+// share is worth little and takes the room of what is worth more.
+func (b *Balancer) overShare(c *call) bool {
+	if c.Tenant >= len(b.set.Tenants) || b.set.OverShareWorth >= 1 || c.MidFlow {
+		return false
+	}
+	quota := b.set.Tenants[c.Tenant].Connections / float64(b.set.Relays)
+	if quota <= 0 || float64(b.taken[c.Tenant]) < quota {
+		return false
+	}
+	near := 0
+	for _, s := range b.ready {
+		if s.limit > 0 && b.own(s) >= 0.8*s.limit {
+			near++
+		}
+	}
+	return 2*near >= len(b.ready)
+}
+
 // patience is an attempt's time-out: the class's aim while another attempt can
 // follow, else all the time there is.
 func (b *Balancer) patience(now time.Duration, c *call) time.Duration {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -411,3 +411,24 @@
 		t.Errorf("the group's overflow is on %d servers", len(seen))
 	}
 }
+
+// Near the fleet's limits, what a tenant asks beyond its share takes others' room.
+func TestOverShareIsRefusedOnlyWhileRoomIsShort(t *testing.T) {
+	s := settings()
+	s.OverShareWorth = 0.1
+	s.Tenants = []Tenant{{Share: 0.5, Connections: 20}, {Share: 0.5, Connections: 20}}
+	b, r := start(t, s, 4)
+	for id := uint64(1); id <= 15; id++ { // ten are its share on one of two relays
+		sent(t, b, r, sec, Request{ID: id, Key: id})
+		b.Began(sec, Outcome{ID: id})
+	}
+	for _, o := range b.ready {
+		o.limit, o.hot = 1.25*b.own(o), sec
+	}
+	r.clear()
+	b.Request(sec, Request{ID: 50, Key: 50, Left: sec})
+	if len(r.take("refuse")) != 1 {
+		t.Errorf("over its share with little room: %v", r.did)
+	}
+	sent(t, b, r, sec, Request{ID: 51, Key: 50, Tenant: 1})
+}
--- a/balance/books.go
+++ b/balance/books.go
@@ -61,6 +61,7 @@
 
 // Balancer is one relay's decisions.
 type Balancer struct {
+	taken    []int   // connections by tenant
 	share    int     // where a load report tells load over capacity; below 0: nowhere
 	budget   float64 // attempts beyond the first that requests may still make
 	set      Settings
@@ -91,6 +92,9 @@
 	if r.Class < 0 || r.Class >= len(b.set.Classes) {
 		r.Class = 0
 	}
+	if r.Tenant < 0 || r.Tenant >= len(b.taken) {
+		r.Tenant = 0
+	}
 	c := &call{Request: r, deadline: now + r.Left, key: mix(r.Key), load: sane(r.Load)}
 	switch {
 	case b.set.Groups && r.Group != 0: // every server that holds any of a group pays for all of it
@@ -119,6 +123,7 @@
 	c.at, c.slot = s, len(s.open)
 	s.open = append(s.open, c)
 	s.groups[c.key]++
+	b.taken[c.Tenant]++
 	s.conns++
 	if c.load > 0 {
 		s.told += c.load
@@ -134,6 +139,7 @@
 	s.open[len(s.open)-1] = nil
 	s.open = s.open[:len(s.open)-1]
 	c.at = nil
+	b.taken[c.Tenant]--
 	if s.groups[c.key]--; s.groups[c.key] == 0 {
 		delete(s.groups, c.key)
 	}
