--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,6 +19,7 @@
 	beat       = time.Second      // the rhythm of upkeep
 	headroom   = 0.75             // the share of what a server can do that it is filled to
 	holds      = 1e12             // added to a rendezvous score, it outranks any without
+	spread     = 3                // a group goes to no more than the first so many of its order
 	maxDivert  = 1 << 14          // diverted connections remembered
 	tickToken  = 1 << 63          // timers: upkeep; any other token is a request's deadline
 )
@@ -104,10 +105,23 @@
 		return first
 	case best == nil:
 		return doubtful
+	case c.grouped && best.groups[c.key] == 0 && b.rank(now, c, best) >= spread:
+		return nil // in overload, groups scattered one by one cost more than they bring
 	}
 	return best
 }
 
+// rank counts the sound servers before s in the connection's rendezvous order.
+func (b *Balancer) rank(now time.Duration, c *call, s *server) int {
+	n := 0
+	for _, o := range b.ready {
+		if o.until <= now && b.warmth(now, o) >= 1 && rendezvous(c.key, o) > rendezvous(c.key, s) {
+			n++
+		}
+	}
+	return n
+}
+
 // usable says whether the connection may go to the server at all.
 func (b *Balancer) usable(now time.Duration, s *server, c *call, healthy bool) bool {
 	if s.State != StateReady || healthy && s.until > now {
