--- a/balance/balance.go
+++ b/balance/balance.go
@@ -322,6 +322,9 @@
 		b.overload(now, s, b.own(s))
 	}
 	b.detach(c)
+	if o.Status == Reset && c.began && s.limit > 0 { // what it dropped it does not bear
+		s.limit = min(s.limit, max(b.own(s), b.meanLoad()))
+	}
 	if !c.began {
 		b.judge(now, s, o.Status)
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -432,3 +432,23 @@
 	}
 	sent(t, b, r, sec, Request{ID: 51, Key: 50, Tenant: 1})
 }
+
+// A server whose process died drops all its connections at once; the limit must not
+// stay near what it held, or the clients storm back at it while the list is late.
+func TestLimitFollowsWhatAServerDrops(t *testing.T) {
+	s := settings()
+	s.Groups = true
+	b, r := start(t, s, 6)
+	home := loaded(t, b, r, 1, 20, 7)
+	dead := b.servers[home]
+	var ids []uint64
+	for _, c := range dead.open {
+		ids = append(ids, c.ID)
+	}
+	for _, id := range ids {
+		b.Outcome(2*sec, Outcome{ID: id, Backend: home, Status: Reset, Closed: true})
+	}
+	if dead.limit > 2 {
+		t.Errorf("a server that dropped all of %d connections is held to bear %v", len(ids), dead.limit)
+	}
+}
