--- a/balance/balance.go
+++ b/balance/balance.go
@@ -319,7 +319,7 @@
 	}
 	s := c.at
 	if o.Status == Reset && c.began && s.State == StateReady || o.Status == Full {
-		b.overload(now, s, b.own(s))
+		b.overload(now, s, 0.85)
 	}
 	b.detach(c)
 	if o.Status == Reset && c.began && s.limit > 0 { // what it dropped it does not bear
@@ -363,7 +363,7 @@
 	}
 	reports := b.set.Probes && b.share >= 0
 	if kind == NoteDelay && v > b.quickest && (c.at.limit == 0 || !reports) {
-		b.overload(now, c.at, b.own(c.at))
+		b.overload(now, c.at, max(0.5, 1-0.05*v/b.quickest)) // the later, the less it bears
 	}
 	if kind == NoteLoad {
 		if v = sane(v); v > 0 {
@@ -463,18 +463,19 @@
 	return s.limit == 0 || s.conns == 0 || b.own(s)+b.loadOf(c) <= s.limit
 }
 
-// overload lowers what a server is held to bear. An overloaded server drops
-// connections or serves none in time; T falls as it drops them, and without a
-// limit they come straight back to it.
-func (b *Balancer) overload(now time.Duration, s *server, t float64) {
+// overload lowers what a server is held to bear to a part of its T. An overloaded
+// server drops connections or serves none in time; T falls as it drops them, and
+// without a limit they come straight back to it.
+func (b *Balancer) overload(now time.Duration, s *server, keep float64) {
 	if now-s.hot < beat && s.limit > 0 {
 		return
 	}
 	s.hot = now
+	t := b.own(s)
 	if s.limit > 0 {
 		t = min(t, s.limit)
 	}
-	s.limit = max(t*0.85, b.meanLoad())
+	s.limit = max(t*keep, b.meanLoad())
 	b.relieve(s)
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -452,3 +452,19 @@
 		t.Errorf("a server that dropped all of %d connections is held to bear %v", len(ids), dead.limit)
 	}
 }
+
+// The later messages are, the further a server is past what it bears.
+func TestCutsGrowWithLateness(t *testing.T) {
+	limit := func(ms float64) float64 {
+		s := settings()
+		s.Groups = true
+		b, r := start(t, s, 6)
+		loaded(t, b, r, 1, 20, 7)
+		b.Note(2*sec, 1, NoteDelay, ms)
+		return b.calls[1].at.limit
+	}
+	if none, little, much, most := limit(19), limit(25), limit(150), limit(1e9); none != 0 || little <= much ||
+		much <= most || most <= 1 {
+		t.Errorf("limits %v, %v, %v, %v", none, little, much, most)
+	}
+}
