--- a/balance/balance.go
+++ b/balance/balance.go
@@ -7,7 +7,6 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -32,6 +31,9 @@
 		taken: make([]int, max(1, len(s.Tenants))),
 		began: now, cleared: now, budget: 1,
 		share: slices.Index(s.Report, FieldLoadShare)}
+	if !s.Probes {
+		b.share = -1
+	}
 	for _, class := range s.Classes {
 		aim := float64(class.MessageAim) / float64(3*time.Millisecond)
 		if b.quickest == 0 || aim < b.quickest {
@@ -111,17 +113,6 @@
 	return best
 }
 
-// rank counts the sound servers before s in the connection's rendezvous order.
-func (b *Balancer) rank(now time.Duration, c *call, s *server) int {
-	n := 0
-	for _, o := range b.ready {
-		if o.until <= now && b.warmth(now, o) >= 1 && rendezvous(c.key, o) > rendezvous(c.key, s) {
-			n++
-		}
-	}
-	return n
-}
-
 // usable says whether the connection may go to the server at all.
 func (b *Balancer) usable(now time.Duration, s *server, c *call, healthy bool) bool {
 	if s.State != StateReady || healthy && s.until > now {
@@ -133,13 +124,6 @@
 	return !healthy || b.room(s, c) && !slices.Contains(c.tried[:min(c.tries, len(c.tried))], s)
 }
 
-// rendezvous scores a server for a key; a larger server wins more keys, and a
-// change of one server moves only its own.
-func rendezvous(key uint64, s *server) float64 {
-	u := (float64(mix(key^s.hash)>>11) + 0.5) / (1 << 53)
-	return -s.size / math.Log(u)
-}
-
 // delta is Δ: connections' worth, relative to a server of mean size.
 func (b *Balancer) delta() float64 { return deltaConns * b.meanLoad() / b.meanSize() }
 
@@ -160,21 +144,6 @@
 	return l
 }
 
-// classLoad is the usual load of a class: learned, else that of all, else 1.
-func (b *Balancer) classLoad(class int) float64 {
-	if b.seen[class] > 0 {
-		return b.usual[class]
-	}
-	sum, n := 0.0, 0.0
-	for i := range b.usual {
-		sum, n = sum+b.usual[i]*b.seen[i], n+b.seen[i]
-	}
-	if n == 0 {
-		return 1
-	}
-	return sum / n
-}
-
 // --- the life of a request -----------------------------------------------------
 
 // Request takes a new connection.
@@ -207,20 +176,14 @@
 // try sends the next attempt, or holds the request while nothing can take it.
 func (b *Balancer) try(now time.Duration, c *call) {
 	s := b.place(now, c)
-	if s != nil && b.overShare(c) {
-		b.answer(now, c)
+	if len(b.ready) == 0 {
+		b.held = append(b.held, c)
 		return
 	}
-	if s == nil && len(b.ready) > 0 { // all are past what they bear: more would sink those they hold
+	if s == nil || b.overShare(c) { // past what all bear: more would sink those they hold
 		b.answer(now, c)
 		return
 	}
-	if s == nil {
-		if !slices.Contains(b.held, c) {
-			b.held = append(b.held, c)
-		}
-		return
-	}
 	if c.tries < len(c.tried) {
 		c.tried[c.tries] = s
 	}
@@ -285,7 +248,11 @@
 func (b *Balancer) answer(now time.Duration, c *call) {
 	class := &b.set.Classes[c.Class]
 	if !c.mayRan || class.Effect == Safe || class.Effect == Keyed && class.Scope == ScopeAll {
-		b.do.Refuse(c.ID, min(b.set.MaxRetryAfter, beat))
+		stay := min(b.set.MaxRetryAfter, beat)
+		if !b.set.RetryAfter {
+			stay = 0
+		}
+		b.do.Refuse(c.ID, stay)
 	} else {
 		b.do.Fail(c.ID)
 	}
@@ -361,20 +328,13 @@
 	if c == nil || c.at == nil {
 		return
 	}
-	reports := b.set.Probes && b.share >= 0
-	if kind == NoteDelay && v > b.quickest && (c.at.limit == 0 || !reports) {
+	// Where reports tell the load they set the limit; notes would cut it to its floor
+	// while everything is slow.
+	if kind == NoteDelay && v > b.quickest && (c.at.limit == 0 || b.share < 0) {
 		b.overload(now, c.at, max(0.5, 1-0.05*v/b.quickest)) // the later, the less it bears
 	}
-	if kind == NoteLoad {
-		if v = sane(v); v > 0 {
-			s := c.at
-			b.detach(c)
-			c.load = v
-			b.attach(c, s)
-			n := min(b.seen[c.Class]+1, 100)
-			b.seen[c.Class] = n
-			b.usual[c.Class] += (v - b.usual[c.Class]) / n
-		}
+	if kind == NoteLoad && sane(v) > 0 {
+		b.heard(c, v)
 	}
 }
 
@@ -512,7 +472,7 @@
 		if now-s.hot >= 2*beat {
 			s.limit *= 1.05
 		}
-		if b.set.Probes && b.share >= 0 && !s.probing { // the answer sets the limit
+		if b.share >= 0 && !s.probing { // the answer sets the limit
 			s.probing = true
 			b.do.Probe(s.ID)
 		}
@@ -544,15 +504,6 @@
 
 // --- cold servers ----------------------------------------------------------------
 
-// warmth is the share of its capacity a server surely has.
-func (b *Balancer) warmth(now time.Duration, s *server) float64 {
-	age := now - s.ReadyAt
-	if s.ReadyAt == 0 || b.set.WarmUp <= 0 || age >= b.set.WarmUp {
-		return 1
-	}
-	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, float64(age)/float64(b.set.WarmUp))
-}
-
 // takesCold says whether a starting server takes this key now: a rising share of
 // its keys, within this relay's part of what it can bear.
 func (b *Balancer) takesCold(now time.Duration, s *server, c *call) bool {
@@ -603,11 +554,10 @@
 		// Back off with jitter: the list service is shared and falls behind when all ask at once.
 		b.list.wait = min(max(beat, 2*b.list.wait), max(beat, b.set.AskEvery/2))
 		b.list.again = now + time.Duration(float64(b.list.wait)*(0.5+b.rng.Float64()))
-		b.list.opened = false
 		return
 	}
 	if kind != ListCached && b.set.ListOnRequest {
-		b.list = listState{asked: b.list.asked, opened: true}
+		b.list = listState{}
 	}
 	if kind != ListDelta {
 		named := make(map[BackendID]bool, len(lines))
@@ -647,7 +597,7 @@
 		b.servers[l.ID] = s
 	}
 	if l.State == StateReady && l.ReadyAt != s.ReadyAt { // a new process: old sins are void
-		s.fails, s.until, s.bench, s.filled = 0, 0, 0, 0
+		s.fails, s.until, s.bench, s.filled, s.limit = 0, 0, 0, 0, 0
 	}
 	if l.State != s.State {
 		s.news = now
@@ -664,7 +614,6 @@
 
 func (b *Balancer) ask(now time.Duration) {
 	b.do.Subscribe(true)
-	b.list.asked = now
 	b.list.again = now + max(beat, b.set.AskEvery) // a call that is never answered is asked again
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -468,3 +468,23 @@
 		t.Errorf("limits %v, %v, %v, %v", none, little, much, most)
 	}
 }
+
+// A process that restarts under the same id is cold and owes nothing to its past.
+func TestRestartUnderTheSameIdIsColdAndUnmarked(t *testing.T) {
+	b, r := start(t, settings(), 4)
+	s := b.servers[1]
+	s.limit, s.fails, s.until, s.bench = 3, 1, 60*sec, 16*sec
+	b.List(30*sec, ListDelta, []Backend{{ID: 1, State: StateReady, Weight: 1, ReadyAt: 29 * sec}})
+	if s.limit != 0 || s.fails != 0 || s.until != 0 || s.bench != 0 {
+		t.Errorf("old marks stay: %+v", s)
+	}
+	n := 0
+	for id := uint64(1); id <= 100; id++ {
+		if sent(t, b, r, 30*sec, Request{ID: id, Key: id}) == 1 {
+			n++
+		}
+	}
+	if n > 2 {
+		t.Errorf("a restarted server got %d connections at once", n)
+	}
+}
--- a/balance/books.go
+++ b/balance/books.go
@@ -82,10 +82,8 @@
 }
 
 type listState struct {
-	asked  time.Duration // when the last call went out
-	again  time.Duration // when to ask again; 0: no need
-	wait   time.Duration // present back-off
-	opened bool
+	again time.Duration // when to ask again; 0: no need
+	wait  time.Duration // present back-off
 }
 
 func (b *Balancer) newCall(now time.Duration, r Request) *call {
@@ -184,6 +182,21 @@
 	return t
 }
 
+// classLoad is the usual load of a class: learned, else that of all, else 1.
+func (b *Balancer) classLoad(class int) float64 {
+	if b.seen[class] > 0 {
+		return b.usual[class]
+	}
+	sum, n := 0.0, 0.0
+	for i := range b.usual {
+		sum, n = sum+b.usual[i]*b.seen[i], n+b.seen[i]
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / n
+}
+
 // remember keeps a diversion for mid-flow arrivals; the oldest go first.
 func (b *Balancer) remember(now time.Duration, c *call, to *server) {
 	if _, ok := b.divert[c.flow]; !ok {
@@ -196,6 +209,17 @@
 	}
 }
 
+// heard takes in a connection's present load, and with it what its class usually brings.
+func (b *Balancer) heard(c *call, load float64) {
+	s := c.at
+	b.detach(c)
+	c.load = load
+	b.attach(c, s)
+	n := min(b.seen[c.Class]+1, 100)
+	b.seen[c.Class] = n
+	b.usual[c.Class] += (load - b.usual[c.Class]) / n
+}
+
 func (b *Balancer) loadOf(c *call) float64 {
 	if c.load > 0 {
 		return c.load
@@ -203,6 +227,33 @@
 	return b.classLoad(c.Class)
 }
 
+// rank counts the sound servers before s in the connection's rendezvous order.
+func (b *Balancer) rank(now time.Duration, c *call, s *server) int {
+	n := 0
+	for _, o := range b.ready {
+		if o.until <= now && b.warmth(now, o) >= 1 && rendezvous(c.key, o) > rendezvous(c.key, s) {
+			n++
+		}
+	}
+	return n
+}
+
+// warmth is the share of its capacity a server surely has.
+func (b *Balancer) warmth(now time.Duration, s *server) float64 {
+	age := now - s.ReadyAt
+	if s.ReadyAt == 0 || b.set.WarmUp <= 0 || age >= b.set.WarmUp {
+		return 1
+	}
+	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, float64(age)/float64(b.set.WarmUp))
+}
+
+// rendezvous scores a server for a key; a larger server wins more keys, and a
+// change of one server moves only its own.
+func rendezvous(key uint64, s *server) float64 {
+	u := (float64(mix(key^s.hash)>>11) + 0.5) / (1 << 53)
+	return -s.size / math.Log(u)
+}
+
 // mix spreads the bits of a number; equal numbers mix alike on every relay.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
