--- a/balance/balance.go
+++ b/balance/balance.go
@@ -180,6 +180,7 @@
 		b.held = append(b.held, c)
 		return
 	}
+	b.wanting = b.wanting || s == nil
 	if s == nil || b.overShare(c) { // past what all bear: more would sink those they hold
 		b.answer(now, c)
 		return
@@ -463,14 +464,20 @@
 	}
 }
 
-// recover raises limits while a server shows no trouble.
+// recover raises limits while a server shows no trouble, faster while requests are
+// refused for want of room: after a shrink or a shared slowness all limits are low.
 func (b *Balancer) recover(now time.Duration) {
+	growth := 1.05
+	if b.wanting {
+		growth = 1.15
+	}
+	b.wanting = false
 	for _, s := range b.ready {
 		if s.limit == 0 {
 			continue
 		}
 		if now-s.hot >= 2*beat {
-			s.limit *= 1.05
+			s.limit *= growth
 		}
 		if b.share >= 0 && !s.probing { // the answer sets the limit
 			s.probing = true
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -488,3 +488,27 @@
 		t.Errorf("a restarted server got %d connections at once", n)
 	}
 }
+
+// After a shrink all limits are low and requests are refused though servers are calm.
+func TestLimitsGrowFasterWhileRequestsAreRefused(t *testing.T) {
+	grown := func(ask bool) float64 {
+		b, r := start(t, settings(), 1)
+		for id := uint64(1); id <= 10; id++ {
+			sent(t, b, r, sec, Request{ID: id, Key: id})
+			b.Began(sec, Outcome{ID: id})
+		}
+		b.Note(2*sec, 1, NoteDelay, 60)
+		before := b.ready[0].limit
+		for now := 3 * sec; now < 9*sec; now += sec {
+			if ask {
+				b.Request(now, Request{ID: uint64(now), Key: 1, Left: sec})
+				b.Gone(now, uint64(now))
+			}
+			b.Timer(now, tickToken)
+		}
+		return b.ready[0].limit / before
+	}
+	if calm, wanted := grown(false), grown(true); calm <= 1 || wanted <= calm {
+		t.Errorf("limits grew by %v, while refusing by %v", calm, wanted)
+	}
+}
--- a/balance/books.go
+++ b/balance/books.go
@@ -61,6 +61,7 @@
 
 // Balancer is one relay's decisions.
 type Balancer struct {
+	wanting  bool    // a request found no room since the last beat
 	taken    []int   // connections by tenant
 	share    int     // where a load report tells load over capacity; below 0: nowhere
 	budget   float64 // attempts beyond the first that requests may still make
