--- a/balance/balance.go
+++ b/balance/balance.go
@@ -329,9 +329,11 @@
 	if c == nil || c.at == nil {
 		return
 	}
-	// Where reports tell the load they set the limit; notes would cut it to its floor
-	// while everything is slow.
-	if kind == NoteDelay && v > b.quickest && (c.at.limit == 0 || b.share < 0) {
+	// Where reports tell the load they set the limit: notes would cut it to its floor
+	// while everything is slow. But a report that claims room while messages are late
+	// is stale or wrong, and is not believed upwards until they are not.
+	if kind == NoteDelay && v > b.quickest && (c.at.limit == 0 || c.at.full < headroom) {
+		c.at.doubted = now
 		b.overload(now, c.at, max(0.5, 1-0.05*v/b.quickest)) // the later, the less it bears
 	}
 	if kind == NoteLoad && sane(v) > 0 {
@@ -498,7 +500,10 @@
 		return
 	}
 	if full := sane(float64(r.Load[b.share])); full > 0 && b.own(s) > 0 {
-		s.limit = max(b.own(s)*headroom/full, b.meanLoad())
+		s.full = full
+		if l := max(b.own(s)*headroom/full, b.meanLoad()); l < s.limit || now-s.doubted >= 2*beat {
+			s.limit = l
+		}
 		if full > 0.9 {
 			s.hot = now
 			b.relieve(s)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -512,3 +512,25 @@
 		t.Errorf("limits grew by %v, while refusing by %v", calm, wanted)
 	}
 }
+
+// A frozen or wrong report must not lift the limit of a server whose messages are late.
+func TestReportsThatClaimRoomAreNotBelievedAgainstLateMessages(t *testing.T) {
+	s := settings()
+	s.Groups, s.Probes, s.Report = true, true, []Field{FieldLoadShare}
+	b, r := start(t, s, 6)
+	loaded(t, b, r, 1, 20, 7)
+	hot := b.calls[1].at
+	claim := Report{Backend: hot.ID, Load: []float32{0.1}}
+	b.Note(2*sec, 1, NoteDelay, 100)
+	b.Probed(2*sec+10*ms, claim)
+	first := hot.limit
+	b.Note(3*sec, 1, NoteDelay, 100)
+	b.Probed(3*sec+10*ms, claim)
+	if hot.limit >= first {
+		t.Errorf("limit %v after %v: the note did not cut or the report lifted it", hot.limit, first)
+	}
+	b.Probed(6*sec, claim)
+	if hot.limit <= first {
+		t.Errorf("limit stays %v though messages are in time", hot.limit)
+	}
+}
--- a/balance/books.go
+++ b/balance/books.go
@@ -27,6 +27,8 @@
 	until   time.Duration // suspended until then
 	bench   time.Duration // how long the next suspension lasts
 	limit   float64       // overload: the T that this server is seen to bear; 0: none seen
+	full    float64       // its last report's load over capacity; 0: none
+	doubted time.Duration // when messages were last late though the report claimed room
 	probing bool          // a probe is out
 	hot     time.Duration // when it last showed overload
 	budget  float64       // cold: connections' worth this relay may send now
