--- a/balance/balance.go
+++ b/balance/balance.go
@@ -215,11 +215,12 @@
 	return 2*near >= len(b.ready)
 }
 
-// patience is an attempt's time-out: the class's aim while another attempt can
-// follow, else all the time there is.
+// patience is an attempt's time-out: the class's aim or half of what is left while
+// another attempt can follow, else all the time there is. So it is too while many
+// time out: with set-ups slow everywhere, each one cut short feeds what slows them.
 func (b *Balancer) patience(now time.Duration, c *call) time.Duration {
 	left := c.deadline - now
-	if c.tries >= b.set.TryLimit || b.set.Classes[c.Class].Effect == Unsafe {
+	if c.tries >= b.set.TryLimit || b.late > 0.25 || b.set.Classes[c.Class].Effect == Unsafe {
 		return left
 	}
 	return min(left, max(b.set.Classes[c.Class].OnTime, left/2))
@@ -399,6 +400,10 @@
 		return
 	}
 	s.fails += (bad - s.fails) / 4
+	b.late -= b.late / 16
+	if st == Timeout {
+		b.late += 1.0 / 16
+	}
 	if bad == 0 {
 		if s.fails < 0.1 {
 			s.bench = 0
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -534,3 +534,34 @@
 		t.Errorf("limit stays %v though messages are in time", hot.limit)
 	}
 }
+
+// With set-ups slow everywhere, an attempt cut short is work lost and asked for again.
+func TestAttemptsGetAllTheTimeWhileManyTimeOut(t *testing.T) {
+	b, r := start(t, settings(), 8)
+	wait := func(id uint64, now time.Duration) time.Duration {
+		r.clear()
+		b.Request(now, Request{ID: id, Key: id, Left: 2 * sec})
+		sends := r.take("send")
+		if len(sends) != 1 {
+			t.Fatalf("sends %v", sends)
+		}
+		return sends[0].wait
+	}
+	if w := wait(1, sec); w != sec {
+		t.Fatalf("first time-out %v", w)
+	}
+	for id := uint64(2); id < 20; id++ {
+		wait(id, sec)
+		b.Outcome(2*sec, Outcome{ID: id, Backend: b.calls[id].at.ID, Status: Timeout})
+	}
+	if w := wait(100, 3*sec); w != 2*sec {
+		t.Errorf("time-out %v while all time out, want all that is left", w)
+	}
+	for id := uint64(101); id < 200; id++ {
+		wait(id, 3*sec)
+		b.Began(3*sec, Outcome{ID: id})
+	}
+	if w := wait(300, 4*sec); w != sec {
+		t.Errorf("time-out %v after all is well again", w)
+	}
+}
--- a/balance/books.go
+++ b/balance/books.go
@@ -63,6 +63,7 @@
 
 // Balancer is one relay's decisions.
 type Balancer struct {
+	late     float64 // recent share of attempts that timed out
 	wanting  bool    // a request found no room since the last beat
 	taken    []int   // connections by tenant
 	share    int     // where a load report tells load over capacity; below 0: nowhere
