--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -565,3 +565,15 @@
 		t.Errorf("time-out %v after all is well again", w)
 	}
 }
+
+// Whatever a late outcome claims, nothing is sent for a client that has left.
+func TestNothingIsSentAfterTheClientLeft(t *testing.T) {
+	b, r := start(t, settings(), 4)
+	to := sent(t, b, r, sec, Request{ID: 1, Key: 1})
+	b.Gone(sec+10*ms, 1)
+	r.clear()
+	b.Outcome(sec+20*ms, Outcome{ID: 1, Backend: to, Status: Error})
+	if len(r.did) != 0 || len(b.calls) != 0 {
+		t.Errorf("did %v, %d calls left", r.did, len(b.calls))
+	}
+}
