Clean-up: derived state, doubled loops and repeated work out of the module

The number of connections is the length of the list of them; the oldest diversion is dropped in one place; held requests are placed by the list alone, as only a list can end the wait; a send no longer refills a cold budget that was refilled at the same time; rank computes its own score once. The property test counts connections from the calls instead of the field that is gone.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,6 +20,7 @@
 	holds      = 1e12             // added to a rendezvous score, it outranks any without
 	spread     = 3                // a group goes to no more than the first so many of its order
 	maxDivert  = 1 << 14          // diverted connections remembered
+	forget     = 10 * time.Minute // diversions and servers that are gone are kept this long
 	tickToken  = 1 << 63          // timers: upkeep; any other token is a request's deadline
 )
 
@@ -173,13 +174,13 @@
 	b.attach(c, s)
 }
 
-// try sends the next attempt, or holds the request while nothing can take it.
+// try sends the next attempt, or holds the request until a list names a ready server.
 func (b *Balancer) try(now time.Duration, c *call) {
-	s := b.place(now, c)
 	if len(b.ready) == 0 {
 		b.held = append(b.held, c)
 		return
 	}
+	s := b.place(now, c)
 	b.wanting = b.wanting || s == nil
 	if s == nil || b.overShare(c) { // past what all bear: more would sink those they hold
 		b.answer(now, c)
@@ -191,7 +192,9 @@
 	c.tries++
 	c.sent = now
 	b.attach(c, s)
-	b.spend(now, s, c)
+	if b.warmth(now, s) < 1 {
+		s.budget--
+	}
 	b.do.Send(c.ID, s.ID, b.patience(now, c))
 }
 
@@ -287,11 +290,12 @@
 		return
 	}
 	s := c.at
-	if o.Status == Reset && c.began && s.State == StateReady || o.Status == Full {
+	dropped := o.Status == Reset && c.began
+	if dropped && s.State == StateReady || o.Status == Full {
 		b.overload(now, s, 0.85)
 	}
 	b.detach(c)
-	if o.Status == Reset && c.began && s.limit > 0 { // what it dropped it does not bear
+	if dropped && s.limit > 0 { // what it dropped it does not bear
 		s.limit = min(s.limit, max(b.own(s), b.meanLoad()))
 	}
 	if !c.began {
@@ -360,13 +364,11 @@
 	if now-b.cleared >= clearEvery {
 		b.clear(now)
 	}
-	for len(b.order) > 0 && now-b.divert[b.order[0]].at > 10*time.Minute {
-		delete(b.divert, b.order[0])
-		b.order = b.order[1:]
+	for len(b.order) > 0 && now-b.divert[b.order[0]].at > forget {
+		b.forgetOldest()
 	}
 	b.recover(now)
 	b.watch(now)
-	b.retryHeld(now)
 }
 
 // clear forgets backups and flags.
@@ -377,14 +379,6 @@
 	}
 }
 
-func (b *Balancer) retryHeld(now time.Duration) {
-	held := b.held
-	b.held = nil
-	for _, c := range held {
-		b.try(now, c)
-	}
-}
-
 // --- health -------------------------------------------------------------------
 
 // judge learns from the end of an attempt. A server that fails most of its
@@ -428,7 +422,7 @@
 
 // room says whether a server that has shown overload can bear the connection.
 func (b *Balancer) room(s *server, c *call) bool {
-	return s.limit == 0 || s.conns == 0 || b.own(s)+b.loadOf(c) <= s.limit
+	return s.limit == 0 || len(s.open) == 0 || b.own(s)+b.loadOf(c) <= s.limit
 }
 
 // overload lowers what a server is held to bear to a part of its T. An overloaded
@@ -546,7 +540,7 @@
 	conns, size := 0.0, 0.0
 	for _, o := range b.ready {
 		if b.warmth(now, o) >= 1 {
-			conns, size = conns+float64(o.conns), size+o.size
+			conns, size = conns+float64(len(o.open)), size+o.size
 		}
 	}
 	if size > 0 {
@@ -556,13 +550,6 @@
 	s.filled = now
 }
 
-func (b *Balancer) spend(now time.Duration, s *server, c *call) {
-	if b.warmth(now, s) < 1 {
-		b.refill(now, s, b.warmth(now, s))
-		s.budget--
-	}
-}
-
 // --- the list -----------------------------------------------------------------------
 
 // List hears news of the backends.
@@ -594,13 +581,17 @@
 	for id, s := range b.servers {
 		if s.State == StateReady {
 			b.ready = append(b.ready, s)
-		} else if s.State == StateGone && s.conns == 0 && now-s.news > 10*time.Minute {
+		} else if s.State == StateGone && len(s.open) == 0 && now-s.news > forget {
 			delete(b.servers, id)
 		}
 	}
 	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
 	b.clear(now)
-	b.retryHeld(now)
+	held := b.held
+	b.held = nil
+	for _, c := range held {
+		b.try(now, c)
+	}
 }
 
 // learn takes in one line of a list.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -316,7 +316,7 @@
 	}
 }
 
-// loaded opens n connections of one group, one second apart in id, and returns their server.
+// loaded opens n connections of one group, with ids from the given one on, and returns the last one's server.
 func loaded(t *testing.T, b *Balancer, r *recorder, from, n uint64, group uint64) BackendID {
 	t.Helper()
 	var to BackendID
--- a/balance/books.go
+++ b/balance/books.go
@@ -14,10 +14,9 @@
 	Backend
 	hash    uint64
 	size    float64
-	news    time.Duration // when this relay learned of its present state
-	told    float64       // T: loads that notes or hints told
-	untold  []int         // T: connections by class whose load nobody told
-	conns   int
+	news    time.Duration  // when this relay learned of its present state
+	told    float64        // T: loads that notes or hints told
+	untold  []int          // T: connections by class whose load nobody told
 	groups  map[uint64]int // its connections by key
 	open    []*call        // the pending and open connections, in no meaningful order
 	fresh   bool           // joined while this relay lived; counts as mean T until its own T gets there
@@ -126,7 +125,6 @@
 	s.open = append(s.open, c)
 	s.groups[c.key]++
 	b.taken[c.Tenant]++
-	s.conns++
 	if c.load > 0 {
 		s.told += c.load
 	} else {
@@ -145,13 +143,12 @@
 	if s.groups[c.key]--; s.groups[c.key] == 0 {
 		delete(s.groups, c.key)
 	}
-	s.conns--
 	if c.load > 0 {
 		s.told = max(0, s.told-c.load)
 	} else {
 		s.untold[c.Class]--
 	}
-	if s.conns == 0 {
+	if len(s.open) == 0 {
 		s.told = 0
 	}
 }
@@ -161,7 +158,7 @@
 	sum, n := 0.0, 0
 	for _, s := range b.ready {
 		sum += b.own(s)
-		n += s.conns
+		n += len(s.open)
 	}
 	if n == 0 {
 		return b.classLoad(0)
@@ -208,11 +205,15 @@
 	}
 	b.divert[c.flow] = diversion{to, now}
 	for len(b.order) > maxDivert {
-		delete(b.divert, b.order[0])
-		b.order = b.order[1:]
+		b.forgetOldest()
 	}
 }
 
+func (b *Balancer) forgetOldest() {
+	delete(b.divert, b.order[0])
+	b.order = b.order[1:]
+}
+
 // heard takes in a connection's present load, and with it what its class usually brings.
 func (b *Balancer) heard(c *call, load float64) {
 	s := c.at
@@ -233,9 +234,9 @@
 
 // rank counts the sound servers before s in the connection's rendezvous order.
 func (b *Balancer) rank(now time.Duration, c *call, s *server) int {
-	n := 0
+	n, score := 0, rendezvous(c.key, s)
 	for _, o := range b.ready {
-		if o.until <= now && b.warmth(now, o) >= 1 && rendezvous(c.key, o) > rendezvous(c.key, s) {
+		if o.until <= now && b.warmth(now, o) >= 1 && rendezvous(c.key, o) > score {
 			n++
 		}
 	}
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -157,9 +157,7 @@
 			}
 			q.pending = false
 			over := q.over || q.began || st == OK
-			if over && !q.over {
-				q.over = true
-			}
+			q.over = over
 			b.Outcome(j.now, Outcome{ID: id, Attempt: n, Backend: q.at, Status: st, Closed: over})
 		}
 		for _, id := range ids { // what the wire does at a deadline
@@ -205,13 +203,8 @@
 		case 9:
 			b.Note(j.now, id, NoteKind(rng.IntN(4)), loads[rng.IntN(len(loads))])
 		case 10:
-			if q != nil && !q.over {
-				if !q.began {
-					q.over = true
-				}
-				if q.began {
-					break
-				}
+			if q != nil && !q.over && !q.began {
+				q.over = true
 				b.Gone(j.now, id)
 			}
 		case 11:
@@ -234,9 +227,13 @@
 			t.Fatalf("request %d never got a final answer", id)
 		}
 	}
+	placed := map[*server]int{}
+	for _, c := range b.calls {
+		placed[c.at]++
+	}
 	for _, sv := range b.servers {
-		if own := b.own(sv); math.IsNaN(own) || own < 0 || len(sv.open) != sv.conns {
-			t.Fatalf("backend %d: T %v, %d connections of %d", sv.ID, own, sv.conns, len(sv.open))
+		if own := b.own(sv); math.IsNaN(own) || own < 0 || len(sv.open) != placed[sv] {
+			t.Fatalf("backend %d: T %v, %d connections of %d", sv.ID, own, len(sv.open), placed[sv])
 		}
 	}
 	return j.log
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -28,7 +28,7 @@
 	r, buf := bufio.NewReaderSize(in, 1<<20), new(bytes.Buffer)
 	for {
 		if err := mesa.ReadFrame(r, buf); err != nil {
-			if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			if errors.Is(err, io.EOF) {
 				return nil
 			}
 			return err
