Relief by chance below a whole connection

Cause: with many relays each holds one connection a server, so a floor of one mean connection left limits without effect.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -433,11 +433,7 @@
 		return
 	}
 	s.hot = now
-	t := b.own(s)
-	if s.limit > 0 {
-		t = min(t, s.limit)
-	}
-	s.limit = max(t*keep, b.meanLoad())
+	s.limit = max(b.own(s), b.meanLoad()) * keep
 	b.relieve(s)
 }
 
@@ -445,6 +441,8 @@
 // left there, none would be served in time, and with no room elsewhere some
 // served still beat none. Heavy ones go first, and those with few of their group
 // here: a group that is split costs both servers, one that leaves whole neither.
+// The last one goes by chance, in proportion: among many relays with a connection
+// or two each, none would ever be over by a whole one.
 func (b *Balancer) relieve(s *server) {
 	for excess := b.own(s) - s.limit; excess > 0; {
 		var pick *call
@@ -456,7 +454,7 @@
 				}
 			}
 		}
-		if pick == nil {
+		if pick == nil || b.rng.Float64()*b.loadOf(pick) > excess {
 			return
 		}
 		pick.moved = true
@@ -500,7 +498,7 @@
 	}
 	if full := sane(float64(r.Load[b.share])); full > 0 && b.own(s) > 0 {
 		s.full = full
-		if l := max(b.own(s)*headroom/full, b.meanLoad()); l < s.limit || now-s.doubted >= 2*beat {
+		if l := b.own(s) * headroom / full; l < s.limit || now-s.doubted >= 2*beat {
 			s.limit = l
 		}
 		if full > 0.9 {
