--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,7 +6,7 @@
 package balance
 
 import (
-	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,6 +18,7 @@
 	beat       = time.Second      // the rhythm of upkeep
 	headroom   = 0.75             // the share of what a server can do that it is filled to
 	holds      = 1e12             // added to a rendezvous score, it outranks any without
+	sizeSpan   = 8                // no server counts as more, or less by more, than so many usual ones
 	spread     = 3                // a group goes to no more than the first so many of its order
 	maxDivert  = 1 << 14          // diverted connections remembered
 	forget     = 10 * time.Minute // diversions and servers that are gone are kept this long
@@ -26,23 +27,24 @@
 
 // New starts a relay's decisions.
 func New(now time.Duration, seed uint64, s Settings, do Actions) *Balancer {
+	if !s.RetryAfter {
+		s.MaxRetryAfter = 0
+	}
 	b := &Balancer{set: s, do: do, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		servers: map[BackendID]*server{}, calls: map[uint64]*call{}, divert: map[uint64]diversion{},
 		usual: make([]float64, len(s.Classes)), seen: make([]float64, len(s.Classes)),
-		taken: make([]int, max(1, len(s.Tenants))),
-		began: now, cleared: now, budget: 1,
+		all:     sums{untold: make([]int, len(s.Classes))},
+		taken:   make([]int, max(1, len(s.Tenants))),
+		cleared: now, budget: 1, quickest: math.Inf(1),
 		share: slices.Index(s.Report, FieldLoadShare)}
 	if !s.Probes {
 		b.share = -1
 	}
 	for _, class := range s.Classes {
-		aim := float64(class.MessageAim) / float64(3*time.Millisecond)
-		if b.quickest == 0 || aim < b.quickest {
-			b.quickest = aim
-		}
+		b.quickest = min(b.quickest, float64(class.MessageAim)/float64(3*time.Millisecond))
 	}
 	if s.ListOnRequest {
-		b.ask(now)
+		b.askList(now)
 	}
 	do.After(tickToken, beat)
 	return b
@@ -60,7 +62,7 @@
 	// server or, without a record, home. Mid-flow packets would be reset elsewhere;
 	// a group split over two servers is paid for by both.
 	if c.MidFlow && c.tries == 0 || c.grouped {
-		if d, ok := b.divert[c.flow]; ok && b.usable(now, d.to, c, true) {
+		if d, ok := b.divert[c.flow]; ok && b.usable(now, d.to, c) {
 			return d.to
 		}
 		if c.MidFlow || home.groups[c.key] > 0 {
@@ -74,7 +76,7 @@
 			return home
 		}
 	}
-	if b.load(home)-b.load(backup) < b.delta() || !b.usable(now, backup, c, true) {
+	if b.load(home)-b.load(backup) < b.delta() || !b.usable(now, backup, c) {
 		return home
 	}
 	home.backup, backup.flagged = backup, true
@@ -82,67 +84,115 @@
 	return backup
 }
 
-// home is the first server in the key's rendezvous order that takes it. Servers
-// that are suspended, overloaded or cold pass their keys on, first to one that
-// holds some of the group already. When that leaves none, suspensions are void,
-// since a doubtful server beats none.
+// home is the first server in the key's rendezvous order, which all relays share.
 func (b *Balancer) home(now time.Duration, c *call) *server {
-	var first, best, doubtful *server
-	var firstScore, bestScore, doubtfulScore float64
+	var first *server
+	best := 0.0
 	for _, s := range b.ready {
-		score := rendezvous(c.key, s)
-		if score > firstScore {
-			first, firstScore = s, score
+		u := draw(c.key, s)
+		if s.size <= best*(1-u) { // its score is at most size/(1-u): spare the logarithm
+			continue
+		}
+		if score := rendezvous(u, s); score > best {
+			first, best = s, score
 		}
+	}
+	if first == nil || b.usable(now, first, c) {
+		return first
+	}
+	return b.overflow(now, c)
+}
+
+// overflow is the next server in the key's order where the home is suspended,
+// overloaded or cold: first one that holds some of the group already.
+func (b *Balancer) overflow(now time.Duration, c *call) *server {
+	var best *server
+	bestScore := 0.0
+	for _, s := range b.ready {
+		score := rendezvous(draw(c.key, s), s)
 		if c.grouped && s.groups[c.key] > 0 {
 			score += holds
 		}
-		if score > bestScore && b.usable(now, s, c, true) {
+		if score > bestScore && b.usable(now, s, c) {
 			best, bestScore = s, score
-		} else if best == nil && score > doubtfulScore && b.room(s, c) && b.usable(now, s, c, false) {
-			doubtful, doubtfulScore = s, score
 		}
 	}
-	switch {
-	case first != nil && b.usable(now, first, c, true):
-		return first
-	case best == nil:
-		return doubtful
-	case c.grouped && best.groups[c.key] == 0 && b.rank(now, c, best) >= spread:
+	if best != nil && c.grouped && best.groups[c.key] == 0 && b.rank(now, c, best) >= spread {
 		return nil // in overload, groups scattered one by one cost more than they bring
 	}
 	return best
 }
 
-// usable says whether the connection may go to the server at all.
-func (b *Balancer) usable(now time.Duration, s *server, c *call, healthy bool) bool {
-	if s.State != StateReady || healthy && s.until > now {
-		return false
-	}
-	if !b.allowed(now, s, c) || !b.takesCold(now, s, c) {
-		return false
+// rank counts the warm servers before s in the connection's rendezvous order.
+func (b *Balancer) rank(now time.Duration, c *call, s *server) int {
+	n, score := 0, rendezvous(draw(c.key, s), s)
+	for _, o := range b.ready {
+		if b.warmth(now, o) >= 1 && rendezvous(draw(c.key, o), o) > score {
+			n++
+		}
 	}
-	return !healthy || b.room(s, c) && !slices.Contains(c.tried[:min(c.tries, len(c.tried))], s)
+	return n
+}
+
+// draw is a number between 0 and 1 for a key on a server.
+func draw(key uint64, s *server) float64 { return (float64(mix(key^s.hash)>>11) + 0.5) / (1 << 53) }
+
+// rendezvous scores a server for a key's draw; a larger server wins more keys, and
+// a change of one server moves only its own.
+func rendezvous(u float64, s *server) float64 { return -s.size / math.Log(u) }
+
+// usable says whether the connection may go to the server at all.
+func (b *Balancer) usable(now time.Duration, s *server, c *call) bool {
+	return s.State == StateReady && s.until <= now && b.allowed(now, s, c) && b.takesCold(now, s, c) &&
+		b.room(s, c) && !slices.Contains(c.tried[:min(c.tries, len(c.tried))], s)
 }
 
 // delta is Δ: connections' worth, relative to a server of mean size.
-func (b *Balancer) delta() float64 { return deltaConns * b.meanLoad() / b.meanSize() }
-
-// load is T relative to the server's size. A new server counts as the mean until
-// its own T gets there: an empty one would draw every diversion at once.
-func (b *Balancer) load(s *server) float64 {
-	l := b.own(s) / s.size
-	if s.fresh {
-		sum, size := 0.0, 0.0
-		for _, o := range b.ready {
-			sum, size = sum+b.own(o), size+o.size
-		}
-		if mean := sum / size; l < mean {
-			return mean
+func (b *Balancer) delta() float64 { return deltaConns * b.meanLoad() / b.meanSize }
+
+// load is T relative to the server's size.
+func (b *Balancer) load(s *server) float64 { return b.own(&s.sums) / s.size }
+
+// own is T: the load of this relay's connections on a server.
+func (b *Balancer) own(t *sums) float64 {
+	load := t.told
+	for class, n := range t.untold {
+		if n > 0 {
+			load += float64(n) * b.classLoad(class)
 		}
-		s.fresh = false
 	}
-	return l
+	return load
+}
+
+// loadOf is what one connection adds to T.
+func (b *Balancer) loadOf(c *call) float64 {
+	if c.load > 0 {
+		return c.load
+	}
+	return b.classLoad(c.Class)
+}
+
+// meanLoad is the load of a mean connection here, 1 while nothing is known.
+func (b *Balancer) meanLoad() float64 {
+	if b.all.n == 0 {
+		return b.classLoad(0)
+	}
+	return b.own(&b.all) / float64(b.all.n)
+}
+
+// classLoad is the usual load of a class: learned, else that of all, else 1.
+func (b *Balancer) classLoad(class int) float64 {
+	if b.seen[class] > 0 {
+		return b.usual[class]
+	}
+	sum, n := 0.0, 0.0
+	for i := range b.usual {
+		sum, n = sum+b.usual[i]*b.seen[i], n+b.seen[i]
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / n
 }
 
 // --- the life of a request -----------------------------------------------------
@@ -181,11 +231,14 @@
 		return
 	}
 	s := b.place(now, c)
-	b.wanting = b.wanting || s == nil
 	if s == nil || b.overShare(c) { // past what all bear: more would sink those they hold
 		b.answer(now, c)
 		return
 	}
+	if b.blind(now, s) && c.asks < spread && !c.MidFlow && c.deadline-now > b.set.DialTimeout {
+		b.ask(now, s, c)
+		return
+	}
 	if c.tries < len(c.tried) {
 		c.tried[c.tries] = s
 	}
@@ -198,9 +251,44 @@
 	b.do.Send(c.ID, s.ID, b.patience(now, c))
 }
 
+// blind says whether this relay hears nothing of the server: it has no connection
+// there that would bring notes, and no report of late.
+func (b *Balancer) blind(now time.Duration, s *server) bool {
+	return b.set.Probes && len(s.open) == 0 && now-s.heard >= 2*beat
+}
+
+// ask holds a connection until its server has answered a probe. Among many relays
+// each has connections on few servers: the others may be full without a sign of it.
+func (b *Balancer) ask(now time.Duration, s *server, c *call) {
+	if !s.probing {
+		s.probing = true
+		b.do.Probe(s.ID)
+	}
+	c.asks++
+	c.asked, c.sent = s, now
+	b.held = append(b.held, c)
+	b.do.After(c.ID, b.answerTime(c))
+}
+
+// answerTime is how long a probe is waited for: what is left then is for set-ups.
+func (b *Balancer) answerTime(c *call) time.Duration { return b.set.Classes[c.Class].OnTime / 4 }
+
+// resume places what waited for the server's answer or, with none, for a list.
+func (b *Balancer) resume(now time.Duration, asked *server) {
+	held := b.held
+	b.held = nil
+	for _, c := range held {
+		if c.asked != asked {
+			b.held = append(b.held, c)
+			continue
+		}
+		c.asked = nil
+		b.try(now, c)
+	}
+}
+
 // overShare says whether the request's tenant holds its share of connections here
-// already while half the servers are near their limits: what it gets beyond its
-// share is worth little and takes the room of what is worth more.
+// already while half the servers are near their limits and room is short.
 func (b *Balancer) overShare(c *call) bool {
 	if c.Tenant >= len(b.set.Tenants) || b.set.OverShareWorth >= 1 || c.MidFlow {
 		return false
@@ -211,7 +299,7 @@
 	}
 	near := 0
 	for _, s := range b.ready {
-		if s.limit > 0 && b.own(s) >= 0.8*s.limit {
+		if s.limit > 0 && b.own(&s.sums) >= 0.8*s.limit {
 			near++
 		}
 	}
@@ -253,11 +341,7 @@
 func (b *Balancer) answer(now time.Duration, c *call) {
 	class := &b.set.Classes[c.Class]
 	if !c.mayRan || class.Effect == Safe || class.Effect == Keyed && class.Scope == ScopeAll {
-		stay := min(b.set.MaxRetryAfter, beat)
-		if !b.set.RetryAfter {
-			stay = 0
-		}
-		b.do.Refuse(c.ID, stay)
+		b.do.Refuse(c.ID, min(b.set.MaxRetryAfter, beat))
 	} else {
 		b.do.Fail(c.ID)
 	}
@@ -290,14 +374,10 @@
 		return
 	}
 	s := c.at
-	dropped := o.Status == Reset && c.began
-	if dropped && s.State == StateReady || o.Status == Full {
+	if o.Status == Reset && c.began && s.State == StateReady || o.Status == Full {
 		b.overload(now, s, 0.85)
 	}
 	b.detach(c)
-	if dropped && s.limit > 0 { // what it dropped it does not bear
-		s.limit = min(s.limit, max(b.own(s), b.meanLoad()))
-	}
 	if !c.began {
 		b.judge(now, s, o.Status)
 	}
@@ -307,8 +387,7 @@
 	switch {
 	case c.done || o.Closed || c.began:
 		b.finish(c)
-	case c.tries >= b.set.TryLimit || now+b.set.Tick >= c.deadline,
-		!b.mayRepeat(now, c) || b.budget < 1:
+	case c.tries >= b.set.TryLimit || now+b.set.Tick >= c.deadline || b.budget < 1:
 		b.answer(now, c)
 	default:
 		b.budget--
@@ -316,11 +395,6 @@
 	}
 }
 
-// mayRepeat says whether any server may get another attempt.
-func (b *Balancer) mayRepeat(now time.Duration, c *call) bool {
-	return slices.ContainsFunc(b.ready, func(s *server) bool { return b.allowed(now, s, c) })
-}
-
 // Gone hears that the client left.
 func (b *Balancer) Gone(now time.Duration, id uint64) {
 	if c := b.calls[id]; c != nil && !c.done {
@@ -335,10 +409,8 @@
 		return
 	}
 	// Where reports tell the load they set the limit: notes would cut it to its floor
-	// while everything is slow. But a report that claims room while messages are late
-	// is stale or wrong, and is not believed upwards until they are not.
+	// while everything is slow. A report that claims room meanwhile is stale or wrong.
 	if kind == NoteDelay && v > b.quickest && (c.at.limit == 0 || c.at.full < headroom) {
-		c.at.doubted = now
 		b.overload(now, c.at, max(0.5, 1-0.05*v/b.quickest)) // the later, the less it bears
 	}
 	if kind == NoteLoad && sane(v) > 0 {
@@ -353,10 +425,13 @@
 		b.do.After(tickToken, beat)
 		return
 	}
-	// Only a request held without an attempt is answered here; an attempt's own
-	// time-out reports no later than the deadline.
-	if c := b.calls[token]; c != nil && !c.done && !c.began && c.at == nil {
+	c := b.calls[token] // an attempt's own time-out reports no later than the deadline
+	switch {
+	case c == nil || c.done || c.began || c.at != nil:
+	case now+2*b.set.Tick >= c.deadline:
 		b.answer(now, c)
+	case c.asked != nil && now-c.sent >= b.answerTime(c): // silent: held to be full
+		b.answered(now, c.asked, 1)
 	}
 }
 
@@ -364,11 +439,11 @@
 	if now-b.cleared >= clearEvery {
 		b.clear(now)
 	}
-	for len(b.order) > 0 && now-b.divert[b.order[0]].at > forget {
-		b.forgetOldest()
-	}
+	b.age(now)
 	b.recover(now)
-	b.watch(now)
+	if b.list.again > 0 && now >= b.list.again {
+		b.askList(now)
+	}
 }
 
 // clear forgets backups and flags.
@@ -381,30 +456,20 @@
 
 // --- health -------------------------------------------------------------------
 
-// judge learns from the end of an attempt. A server that fails most of its
-// attempts is suspended: quick failures shed T and would draw traffic. The
-// suspended share is capped, so that trouble shared by all ejects nobody.
+// judge learns from the end of an attempt. A server that fails one is suspended,
+// longer each time in a row: quick failures shed T and would draw traffic, and among
+// many relays one failure is all that each may see. The suspended share is capped, so
+// that trouble shared by all ejects nobody.
 func (b *Balancer) judge(now time.Duration, s *server, st Status) {
-	bad := 0.0
+	b.late -= b.late / 16
 	switch st {
 	case OK:
-	case Error, Timeout, ConnectFailed, Reset:
-		bad = 1
-	default:
+		s.bench = 0
 		return
-	}
-	s.fails += (bad - s.fails) / 4
-	b.late -= b.late / 16
-	if st == Timeout {
+	case Timeout:
 		b.late += 1.0 / 16
-	}
-	if bad == 0 {
-		if s.fails < 0.1 {
-			s.bench = 0
-		}
-		return
-	}
-	if s.fails < 0.5 || s.until > now {
+	case Error, ConnectFailed, Reset:
+	default:
 		return
 	}
 	out := 1
@@ -413,16 +478,15 @@
 			out++
 		}
 	}
-	if 3*out > len(b.ready) {
-		return
+	if s.until <= now && 3*out <= len(b.ready) {
+		s.bench = min(max(beat, 2*s.bench), 16*beat)
+		s.until = now + s.bench
 	}
-	s.bench = min(max(beat, 2*s.bench), 16*beat)
-	s.until = now + s.bench
 }
 
 // room says whether a server that has shown overload can bear the connection.
 func (b *Balancer) room(s *server, c *call) bool {
-	return s.limit == 0 || len(s.open) == 0 || b.own(s)+b.loadOf(c) <= s.limit
+	return s.limit == 0 || len(s.open) == 0 || b.own(&s.sums)+b.loadOf(c) <= s.limit
 }
 
 // overload lowers what a server is held to bear to a part of its T. An overloaded
@@ -433,18 +497,21 @@
 		return
 	}
 	s.hot = now
-	s.limit = max(b.own(s), b.meanLoad()) * keep
+	t := b.own(&s.sums)
+	if s.limit > 0 {
+		t = min(t, s.limit)
+	}
+	s.limit = max(t, b.meanLoad()) * keep
 	b.relieve(s)
 }
 
-// relieve moves connections off a server until what stays is within its limit:
-// left there, none would be served in time, and with no room elsewhere some
-// served still beat none. Heavy ones go first, and those with few of their group
-// here: a group that is split costs both servers, one that leaves whole neither.
+// relieve moves connections off a server until what stays is within its limit: with
+// all left there none would be served in time. Heavy ones go first, and those with few
+// of their group here: a split group costs both servers, one that leaves whole neither.
 // The last one goes by chance, in proportion: among many relays with a connection
 // or two each, none would ever be over by a whole one.
 func (b *Balancer) relieve(s *server) {
-	for excess := b.own(s) - s.limit; excess > 0; {
+	for excess := b.own(&s.sums) - s.limit; excess > 0; {
 		var pick *call
 		best := 0.0
 		for _, c := range s.open {
@@ -463,22 +530,18 @@
 	}
 }
 
-// recover raises limits while a server shows no trouble, faster while requests are
-// refused for want of room: after a shrink or a shared slowness all limits are low.
+// recover raises limits while a server shows no trouble.
 func (b *Balancer) recover(now time.Duration) {
-	growth := 1.05
-	if b.wanting {
-		growth = 1.15
-	}
-	b.wanting = false
 	for _, s := range b.ready {
 		if s.limit == 0 {
 			continue
 		}
 		if now-s.hot >= 2*beat {
-			s.limit *= growth
+			s.limit *= 1.1
 		}
-		if b.share >= 0 && !s.probing { // the answer sets the limit
+		// The answer sets the limit. A relay probes in proportion to what it holds there:
+		// one probe a second from each of many relays would cost a server more than it brings.
+		if b.share >= 0 && !s.probing && b.rng.Float64()*deltaConns < float64(len(s.open)) {
 			s.probing = true
 			b.do.Probe(s.ID)
 		}
@@ -486,26 +549,42 @@
 }
 
 // Probed hears a probe's answer. A limited server that tells how full it is gets
-// the limit that fills it: guessing upwards takes long after every trouble.
+// the limit that fills it: guessing upwards takes long after every trouble. Where no
+// report tells it, an answer as late as the messages that notes tell of means full.
 func (b *Balancer) Probed(now time.Duration, r Report) {
 	s := b.servers[r.Backend]
 	if s == nil {
 		return
 	}
 	s.probing = false
-	if r.Status != OK || b.share < 0 || b.share >= len(r.Load) || s.limit == 0 {
-		return
+	full := 0.0
+	told := r.Status == OK && b.share >= 0 && b.share < len(r.Load)
+	switch {
+	case told:
+		full = sane(float64(r.Load[b.share]))
+	case r.Status != OK || r.Latency.Seconds()*1000 > b.quickest:
+		full = 1
 	}
-	if full := sane(float64(r.Load[b.share])); full > 0 && b.own(s) > 0 {
-		s.full = full
-		if l := b.own(s) * headroom / full; l < s.limit || now-s.doubted >= 2*beat {
+	if told && s.limit > 0 && full > 0 && s.n > 0 {
+		if l := b.own(&s.sums) * max(0.5, headroom/full); l < s.limit || now-s.hot >= 2*beat {
 			s.limit = l
 		}
-		if full > 0.9 {
+		if full > 0.9 && now-s.hot >= 2*beat { // reports are old: the last relief may not show yet
 			s.hot = now
 			b.relieve(s)
 		}
 	}
+	b.answered(now, s, full)
+}
+
+// answered takes in how full a server said to be. One without connections of this
+// relay brings no notes: its keys pass it by until it is asked again.
+func (b *Balancer) answered(now time.Duration, s *server, full float64) {
+	s.heard, s.full = now, full
+	if s.n == 0 && full >= headroom {
+		s.until = now + 2*beat
+	}
+	b.resume(now, s)
 }
 
 // Peer hears another relay.
@@ -527,6 +606,15 @@
 	return s.budget >= 1
 }
 
+// warmth is the share of its capacity a server surely has.
+func (b *Balancer) warmth(now time.Duration, s *server) float64 {
+	age := now - s.ReadyAt
+	if s.ReadyAt == 0 || b.set.WarmUp <= 0 || age >= b.set.WarmUp {
+		return 1
+	}
+	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, float64(age)/float64(b.set.WarmUp))
+}
+
 // refill adds to a cold server's budget. What it can do is guessed from what this
 // relay has on others of its size, and filled no faster than over the warm-up.
 func (b *Balancer) refill(now time.Duration, s *server, warmth float64) {
@@ -558,74 +646,39 @@
 		b.list.again = now + time.Duration(float64(b.list.wait)*(0.5+b.rng.Float64()))
 		return
 	}
-	if kind != ListCached && b.set.ListOnRequest {
+	if kind != ListCached {
 		b.list = listState{}
 	}
-	if kind != ListDelta {
-		named := make(map[BackendID]bool, len(lines))
-		for i := range lines {
-			named[lines[i].ID] = true
-		}
-		for _, s := range b.servers {
-			if !named[s.ID] && s.State != StateGone {
-				s.State, s.news = StateGone, now
-			}
-		}
-	}
-	for i := range lines {
-		b.learn(now, lines[i])
-	}
-	b.ready = b.ready[:0]
-	for id, s := range b.servers {
-		if s.State == StateReady {
-			b.ready = append(b.ready, s)
-		} else if s.State == StateGone && len(s.open) == 0 && now-s.news > forget {
-			delete(b.servers, id)
-		}
-	}
-	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
+	b.record(now, kind, lines)
+	b.resize()
 	b.clear(now)
-	held := b.held
-	b.held = nil
-	for _, c := range held {
-		b.try(now, c)
-	}
+	b.resume(now, nil)
 }
 
-// learn takes in one line of a list.
-func (b *Balancer) learn(now time.Duration, l Backend) *server {
-	s := b.servers[l.ID]
-	if s == nil {
-		s = &server{hash: mix(uint64(l.ID) * 0x9e3779b97f4a7c15),
-			untold: make([]int, len(b.set.Classes)),
-			groups: map[uint64]int{},
-			fresh:  now > b.began && l.State == StateReady, news: now}
-		b.servers[l.ID] = s
-	}
-	if l.State == StateReady && l.ReadyAt != s.ReadyAt { // a new process: old sins are void
-		s.fails, s.until, s.bench, s.filled, s.limit = 0, 0, 0, 0, 0
-	}
-	if l.State != s.State {
-		s.news = now
+// resize sets sizes relative to the median weight. A weight that is absurdly large
+// would draw all keys to one server, none at all leave it idle.
+func (b *Balancer) resize() {
+	if len(b.ready) == 0 {
+		return
 	}
-	s.Backend = l
-	if b.set.Weights == WeightsNominal || b.set.Weights == WeightsRough {
-		s.size = sane(l.Weight)
+	weights := make([]float64, len(b.ready))
+	for i, s := range b.ready {
+		weights[i] = sane(s.Weight)
 	}
-	if s.size == 0 {
+	slices.Sort(weights)
+	median := weights[len(weights)/2]
+	sum := 0.0
+	for _, s := range b.ready {
 		s.size = 1
+		if sized := b.set.Weights == WeightsNominal || b.set.Weights == WeightsRough; sized && median > 0 {
+			s.size = min(max(sane(s.Weight)/median, 1.0/sizeSpan), sizeSpan)
+		}
+		sum += s.size
 	}
-	return s
+	b.meanSize = sum / float64(len(b.ready))
 }
 
-func (b *Balancer) ask(now time.Duration) {
+func (b *Balancer) askList(now time.Duration) {
 	b.do.Subscribe(true)
 	b.list.again = now + max(beat, b.set.AskEvery) // a call that is never answered is asked again
 }
-
-// watch asks for the list again when due.
-func (b *Balancer) watch(now time.Duration) {
-	if b.set.ListOnRequest && b.list.again > 0 && now >= b.list.again {
-		b.ask(now)
-	}
-}
--- a/balance/books.go
+++ b/balance/books.go
@@ -1,33 +1,32 @@
 // Bookkeeping behind balance.go: what a relay remembers, and the sums over it.
-// Nothing here decides anything.
+// Nothing here weighs, ranks or limits.
 
 package balance
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
 // server is what this relay knows of a backend.
 type server struct {
 	Backend
+	sums
 	hash    uint64
-	size    float64
+	size    float64        // its weight in units of the fleet's median, what is absurd left out
 	news    time.Duration  // when this relay learned of its present state
-	told    float64        // T: loads that notes or hints told
-	untold  []int          // T: connections by class whose load nobody told
 	groups  map[uint64]int // its connections by key
 	open    []*call        // the pending and open connections, in no meaningful order
-	fresh   bool           // joined while this relay lived; counts as mean T until its own T gets there
 	backup  *server
 	flagged bool
-	fails   float64       // recent share of attempts that failed here
 	until   time.Duration // suspended until then
 	bench   time.Duration // how long the next suspension lasts
 	limit   float64       // overload: the T that this server is seen to bear; 0: none seen
 	full    float64       // its last report's load over capacity; 0: none
-	doubted time.Duration // when messages were last late though the report claimed room
+	heard   time.Duration // when it last answered a probe, or was given up on
 	probing bool          // a probe is out
 	hot     time.Duration // when it last showed overload
 	budget  float64       // cold: connections' worth this relay may send now
@@ -42,12 +41,14 @@
 	deadline  time.Duration
 	tries     int
 	tried     [4]*server
-	at        *server // where the pending attempt or the open connection is
-	sent      time.Duration
-	load      float64 // told load, 0 when unknown
-	slot      int     // its index in at.open
+	at        *server       // where the pending attempt or the open connection is
+	sent      time.Duration // when the last attempt or probe for it went out
+	load      float64       // told load, 0 when unknown
+	slot      int           // its index in at.open
 	moved     bool
 	grouped   bool
+	asks      int
+	asked     *server // held until this one has answered a probe
 	began     bool
 	done      bool // the final answer is out, or the client is gone
 	mayRan    bool // an earlier attempt may have acted
@@ -55,6 +56,24 @@
 	ranServer *server
 }
 
+// sums is what T is weighed from.
+type sums struct {
+	told   float64 // loads that notes or hints told
+	untold []int   // connections by class whose load nobody told
+	n      int     // all connections
+}
+
+func (t *sums) add(c *call, n int) {
+	if t.n += n; c.load > 0 {
+		t.told += float64(n) * c.load
+	} else {
+		t.untold[c.Class] += n
+	}
+	if t.n == 0 {
+		t.told = 0
+	}
+}
+
 type diversion struct {
 	to *server
 	at time.Duration
@@ -63,7 +82,6 @@
 // Balancer is one relay's decisions.
 type Balancer struct {
 	late     float64 // recent share of attempts that timed out
-	wanting  bool    // a request found no room since the last beat
 	taken    []int   // connections by tenant
 	share    int     // where a load report tells load over capacity; below 0: nowhere
 	budget   float64 // attempts beyond the first that requests may still make
@@ -73,14 +91,15 @@
 	servers  map[BackendID]*server
 	ready    []*server // sorted by id
 	calls    map[uint64]*call
-	held     []*call
+	held     []*call // waiting for a list or for a probe's answer
+	all      sums    // of all servers
 	divert   map[uint64]diversion
 	order    []uint64 // keys of divert, oldest first
 	usual    []float64
 	seen     []float64 // per class: how many told loads usual rests on
-	began    time.Duration
 	cleared  time.Duration
 	list     listState
+	meanSize float64 // of the ready servers
 	quickest float64 // a third of the shortest message aim, in milliseconds
 }
 
@@ -111,6 +130,52 @@
 	return c
 }
 
+// record takes in a list's lines and sorts out who is ready.
+func (b *Balancer) record(now time.Duration, kind ListKind, lines []Backend) {
+	if kind != ListDelta { // who is not named in a whole list is gone
+		named := make(map[BackendID]bool, len(lines))
+		for i := range lines {
+			named[lines[i].ID] = true
+		}
+		for _, s := range b.servers {
+			if !named[s.ID] && s.State != StateGone {
+				s.State, s.news = StateGone, now
+			}
+		}
+	}
+	for i := range lines {
+		b.learn(now, lines[i])
+	}
+	b.ready = b.ready[:0]
+	for id, s := range b.servers {
+		if s.State == StateReady {
+			b.ready = append(b.ready, s)
+		} else if s.State == StateGone && len(s.open) == 0 && now-s.news > forget {
+			delete(b.servers, id)
+		}
+	}
+	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
+}
+
+// learn takes in one line of a list. A process that started anew owes nothing to the
+// marks of the one before.
+func (b *Balancer) learn(now time.Duration, l Backend) *server {
+	s := b.servers[l.ID]
+	if s == nil {
+		s = &server{hash: mix(uint64(l.ID) * 0x9e3779b97f4a7c15), size: 1, news: now, heard: now - 2*beat,
+			sums: sums{untold: make([]int, len(b.set.Classes))}, groups: map[uint64]int{}}
+		b.servers[l.ID] = s
+	}
+	if l.State == StateReady && l.ReadyAt != s.ReadyAt {
+		s.until, s.bench, s.filled, s.limit, s.heard = 0, 0, 0, 0, now-2*beat
+	}
+	if l.State != s.State {
+		s.news = now
+	}
+	s.Backend = l
+	return s
+}
+
 // sane drops loads that are not a positive number.
 func sane(v float64) float64 {
 	if v > 0 && !math.IsInf(v, 0) {
@@ -125,11 +190,8 @@
 	s.open = append(s.open, c)
 	s.groups[c.key]++
 	b.taken[c.Tenant]++
-	if c.load > 0 {
-		s.told += c.load
-	} else {
-		s.untold[c.Class]++
-	}
+	s.add(c, 1)
+	b.all.add(c, 1)
 }
 
 func (b *Balancer) detach(c *call) {
@@ -143,59 +205,8 @@
 	if s.groups[c.key]--; s.groups[c.key] == 0 {
 		delete(s.groups, c.key)
 	}
-	if c.load > 0 {
-		s.told = max(0, s.told-c.load)
-	} else {
-		s.untold[c.Class]--
-	}
-	if len(s.open) == 0 {
-		s.told = 0
-	}
-}
-
-// meanLoad is the load of a mean connection here, 1 while nothing is known.
-func (b *Balancer) meanLoad() float64 {
-	sum, n := 0.0, 0
-	for _, s := range b.ready {
-		sum += b.own(s)
-		n += len(s.open)
-	}
-	if n == 0 {
-		return b.classLoad(0)
-	}
-	return sum / float64(n)
-}
-
-func (b *Balancer) meanSize() float64 {
-	sum := 0.0
-	for _, s := range b.ready {
-		sum += s.size
-	}
-	return sum / float64(max(1, len(b.ready)))
-}
-
-// own is T: the load of this relay's connections on the server.
-func (b *Balancer) own(s *server) float64 {
-	t := s.told
-	for class, n := range s.untold {
-		t += float64(n) * b.classLoad(class)
-	}
-	return t
-}
-
-// classLoad is the usual load of a class: learned, else that of all, else 1.
-func (b *Balancer) classLoad(class int) float64 {
-	if b.seen[class] > 0 {
-		return b.usual[class]
-	}
-	sum, n := 0.0, 0.0
-	for i := range b.usual {
-		sum, n = sum+b.usual[i]*b.seen[i], n+b.seen[i]
-	}
-	if n == 0 {
-		return 1
-	}
-	return sum / n
+	s.add(c, -1)
+	b.all.add(c, -1)
 }
 
 // remember keeps a diversion for mid-flow arrivals; the oldest go first.
@@ -209,6 +220,13 @@
 	}
 }
 
+// age forgets old diversions.
+func (b *Balancer) age(now time.Duration) {
+	for len(b.order) > 0 && now-b.divert[b.order[0]].at > forget {
+		b.forgetOldest()
+	}
+}
+
 func (b *Balancer) forgetOldest() {
 	delete(b.divert, b.order[0])
 	b.order = b.order[1:]
@@ -225,40 +243,6 @@
 	b.usual[c.Class] += (load - b.usual[c.Class]) / n
 }
 
-func (b *Balancer) loadOf(c *call) float64 {
-	if c.load > 0 {
-		return c.load
-	}
-	return b.classLoad(c.Class)
-}
-
-// rank counts the sound servers before s in the connection's rendezvous order.
-func (b *Balancer) rank(now time.Duration, c *call, s *server) int {
-	n, score := 0, rendezvous(c.key, s)
-	for _, o := range b.ready {
-		if o.until <= now && b.warmth(now, o) >= 1 && rendezvous(c.key, o) > score {
-			n++
-		}
-	}
-	return n
-}
-
-// warmth is the share of its capacity a server surely has.
-func (b *Balancer) warmth(now time.Duration, s *server) float64 {
-	age := now - s.ReadyAt
-	if s.ReadyAt == 0 || b.set.WarmUp <= 0 || age >= b.set.WarmUp {
-		return 1
-	}
-	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, float64(age)/float64(b.set.WarmUp))
-}
-
-// rendezvous scores a server for a key; a larger server wins more keys, and a
-// change of one server moves only its own.
-func rendezvous(key uint64, s *server) float64 {
-	u := (float64(mix(key^s.hash)>>11) + 0.5) / (1 << 53)
-	return -s.size / math.Log(u)
-}
-
 // mix spreads the bits of a number; equal numbers mix alike on every relay.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
