--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -475,6 +475,9 @@
 	s := settings()
 	s.Groups, s.Probes, s.Report = true, true, []Field{FieldLoadShare}
 	b, r := start(t, s, 6)
+	for _, o := range b.ready {
+		o.heard = sec
+	}
 	loaded(t, b, r, 1, 20, 7)
 	hot := b.calls[1].at
 	claim := Report{Backend: hot.ID, Load: []float32{0.1}}
