--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,6 +20,7 @@
 	holds      = 1e12             // added to a rendezvous score, it outranks any without
 	sizeSpan   = 8                // no server counts as more, or less by more, than so many usual ones
 	spread     = 3                // a group goes to no more than the first so many of its order
+	shunning   = 4                // how much likelier than it was late a kind is passed by
 	maxDivert  = 1 << 14          // diverted connections remembered
 	forget     = 10 * time.Minute // diversions and servers that are gone are kept this long
 	tickToken  = 1 << 63          // timers: upkeep; any other token is a request's deadline
@@ -31,18 +32,16 @@
 		s.MaxRetryAfter = 0
 	}
 	b := &Balancer{set: s, do: do, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
-		servers: map[BackendID]*server{}, calls: map[uint64]*call{}, divert: map[uint64]diversion{},
-		usual: make([]float64, len(s.Classes)), seen: make([]float64, len(s.Classes)),
+		servers: map[BackendID]*server{}, kinds: map[int]*kind{}, calls: map[uint64]*call{}, divert: map[uint64]diversion{},
+		usual: make([]float64, len(s.Classes)+1), seen: make([]float64, len(s.Classes)+1),
 		all:     sums{untold: make([]int, len(s.Classes))},
 		taken:   make([]int, max(1, len(s.Tenants))),
-		cleared: now, budget: 1, quickest: math.Inf(1),
+		cleared: now, budget: 1, meanSize: 1, quickest: math.Inf(1),
 		share: slices.Index(s.Report, FieldLoadShare)}
-	if !s.Probes {
-		b.share = -1
-	}
 	for _, class := range s.Classes {
 		b.quickest = min(b.quickest, float64(class.MessageAim)/float64(3*time.Millisecond))
 	}
+	b.usual[len(s.Classes)] = 1
 	if s.ListOnRequest {
 		b.askList(now)
 	}
@@ -58,9 +57,8 @@
 	if home == nil {
 		return nil
 	}
-	// Stateful: what belongs to something already placed follows it, to the recorded
-	// server or, without a record, home. Mid-flow packets would be reset elsewhere;
-	// a group split over two servers is paid for by both.
+	// Stateful: what belongs to something already placed follows it, to the recorded server
+	// or home. Mid-flow packets would be reset elsewhere; a split group is paid for twice.
 	if c.MidFlow && c.tries == 0 || c.grouped {
 		if d, ok := b.divert[c.flow]; ok && b.usable(now, d.to, c) {
 			return d.to
@@ -117,21 +115,19 @@
 			best, bestScore = s, score
 		}
 	}
-	if best != nil && c.grouped && best.groups[c.key] == 0 && b.rank(now, c, best) >= spread {
-		return nil // in overload, groups scattered one by one cost more than they bring
+	if best == nil || !c.grouped || best.groups[c.key] > 0 {
+		return best
 	}
-	return best
-}
-
-// rank counts the warm servers before s in the connection's rendezvous order.
-func (b *Balancer) rank(now time.Duration, c *call, s *server) int {
-	n, score := 0, rendezvous(draw(c.key, s), s)
-	for _, o := range b.ready {
-		if b.warmth(now, o) >= 1 && rendezvous(draw(c.key, o), o) > score {
-			n++
+	ahead := 0 // in overload, groups scattered one by one cost more than they bring
+	for _, s := range b.ready {
+		if b.warmth(now, s) >= 1 && rendezvous(draw(c.key, s), s) > bestScore {
+			ahead++
 		}
 	}
-	return n
+	if ahead >= spread {
+		return nil
+	}
+	return best
 }
 
 // draw is a number between 0 and 1 for a key on a server.
@@ -144,7 +140,7 @@
 // usable says whether the connection may go to the server at all.
 func (b *Balancer) usable(now time.Duration, s *server, c *call) bool {
 	return s.State == StateReady && s.until <= now && b.allowed(now, s, c) && b.takesCold(now, s, c) &&
-		b.room(s, c) && !slices.Contains(c.tried[:min(c.tries, len(c.tried))], s)
+		!slices.Contains(c.shunned[:c.shuns], s) && b.room(s, c) && !slices.Contains(c.tried[:min(c.tries, len(c.tried))], s)
 }
 
 // delta is Δ: connections' worth, relative to a server of mean size.
@@ -182,17 +178,10 @@
 
 // classLoad is the usual load of a class: learned, else that of all, else 1.
 func (b *Balancer) classLoad(class int) float64 {
-	if b.seen[class] > 0 {
-		return b.usual[class]
-	}
-	sum, n := 0.0, 0.0
-	for i := range b.usual {
-		sum, n = sum+b.usual[i]*b.seen[i], n+b.seen[i]
+	if b.seen[class] == 0 {
+		class = len(b.usual) - 1
 	}
-	if n == 0 {
-		return 1
-	}
-	return sum / n
+	return b.usual[class]
 }
 
 // --- the life of a request -----------------------------------------------------
@@ -231,12 +220,14 @@
 		return
 	}
 	s := b.place(now, c)
+	for s != nil && b.shun(s, c) {
+		s = b.place(now, c)
+	}
 	if s == nil || b.overShare(c) { // past what all bear: more would sink those they hold
 		b.answer(now, c)
 		return
 	}
-	if b.blind(now, s) && c.asks < spread && !c.MidFlow && c.deadline-now > b.set.DialTimeout {
-		b.ask(now, s, c)
+	if b.ask(now, s, c) {
 		return
 	}
 	if c.tries < len(c.tried) {
@@ -251,15 +242,28 @@
 	b.do.Send(c.ID, s.ID, b.patience(now, c))
 }
 
-// blind says whether this relay hears nothing of the server: it has no connection
-// there that would bring notes, and no report of late.
-func (b *Balancer) blind(now time.Duration, s *server) bool {
-	return b.set.Probes && len(s.open) == 0 && now-s.heard >= 2*beat
+// shun says whether a client that came back passes a server by that this relay hears
+// nothing of: by chance, the likelier the more often servers of its kind were late.
+// Sent home by every relay in turn, it would be moved off the same weak server again.
+func (b *Balancer) shun(s *server, c *call) bool {
+	k := b.kindOf(s)
+	if !c.Back || c.MidFlow || s.n > 0 || c.shuns == len(c.shunned) ||
+		b.rng.Float64() >= shunning*k.late/(5+k.seconds) {
+		return false
+	}
+	c.shunned[c.shuns] = s
+	c.shuns++
+	return true
 }
 
-// ask holds a connection until its server has answered a probe. Among many relays
-// each has connections on few servers: the others may be full without a sign of it.
-func (b *Balancer) ask(now time.Duration, s *server, c *call) {
+// ask holds a connection until its server has answered a probe, where this relay hears
+// nothing of it: no connection there that would bring notes, no report of late. Among
+// many relays each has connections on few servers: the others may be full unseen.
+func (b *Balancer) ask(now time.Duration, s *server, c *call) bool {
+	if !b.set.Probes || s.n > 0 || now-s.heard < 2*beat || c.MidFlow || c.asks == spread ||
+		c.deadline-now <= b.set.DialTimeout {
+		return false
+	}
 	if !s.probing {
 		s.probing = true
 		b.do.Probe(s.ID)
@@ -268,6 +272,7 @@
 	c.asked, c.sent = s, now
 	b.held = append(b.held, c)
 	b.do.After(c.ID, b.answerTime(c))
+	return true
 }
 
 // answerTime is how long a probe is waited for: what is left then is for set-ups.
@@ -278,12 +283,14 @@
 	held := b.held
 	b.held = nil
 	for _, c := range held {
-		if c.asked != asked {
+		switch {
+		case c.done:
+		case c.asked != asked:
 			b.held = append(b.held, c)
-			continue
+		default:
+			c.asked = nil
+			b.try(now, c)
 		}
-		c.asked = nil
-		b.try(now, c)
 	}
 }
 
@@ -307,11 +314,11 @@
 }
 
 // patience is an attempt's time-out: the class's aim or half of what is left while
-// another attempt can follow, else all the time there is. So it is too while many
-// time out: with set-ups slow everywhere, each one cut short feeds what slows them.
+// another attempt can follow, else all the time there is. With set-ups slow everywhere
+// the repeats are soon spent, and no attempt is cut short to feed what slows them.
 func (b *Balancer) patience(now time.Duration, c *call) time.Duration {
 	left := c.deadline - now
-	if c.tries >= b.set.TryLimit || b.late > 0.25 || b.set.Classes[c.Class].Effect == Unsafe {
+	if c.tries >= b.set.TryLimit || b.budget < 1 || b.set.Classes[c.Class].Effect == Unsafe {
 		return left
 	}
 	return min(left, max(b.set.Classes[c.Class].OnTime, left/2))
@@ -351,9 +358,6 @@
 // finish ends the request for the client; a pending attempt still reports.
 func (b *Balancer) finish(c *call) {
 	c.done = true
-	if i := slices.Index(b.held, c); i >= 0 {
-		b.held = slices.Delete(b.held, i, i+1)
-	}
 	if c.at == nil {
 		delete(b.calls, c.ID)
 	}
@@ -408,6 +412,9 @@
 	if c == nil || c.at == nil {
 		return
 	}
+	if kind == NoteDelay && v > b.quickest {
+		b.kindOf(c.at).late++
+	}
 	// Where reports tell the load they set the limit: notes would cut it to its floor
 	// while everything is slow. A report that claims room meanwhile is stale or wrong.
 	if kind == NoteDelay && v > b.quickest && (c.at.limit == 0 || c.at.full < headroom) {
@@ -456,20 +463,15 @@
 
 // --- health -------------------------------------------------------------------
 
-// judge learns from the end of an attempt. A server that fails one is suspended,
-// longer each time in a row: quick failures shed T and would draw traffic, and among
-// many relays one failure is all that each may see. The suspended share is capped, so
-// that trouble shared by all ejects nobody.
+// judge suspends a server that fails an attempt, longer each time in a row: quick
+// failures shed T and would draw traffic, and among many relays one is all that each
+// may see. The suspended share is capped: trouble shared by all ejects nobody.
 func (b *Balancer) judge(now time.Duration, s *server, st Status) {
-	b.late -= b.late / 16
 	switch st {
 	case OK:
 		s.bench = 0
 		return
-	case Timeout:
-		b.late += 1.0 / 16
-	case Error, ConnectFailed, Reset:
-	default:
+	case Full, Cancelled, Moot:
 		return
 	}
 	out := 1
@@ -489,9 +491,8 @@
 	return s.limit == 0 || len(s.open) == 0 || b.own(&s.sums)+b.loadOf(c) <= s.limit
 }
 
-// overload lowers what a server is held to bear to a part of its T. An overloaded
-// server drops connections or serves none in time; T falls as it drops them, and
-// without a limit they come straight back to it.
+// overload lowers what a server is held to bear to a part of its T. One that drops
+// connections loses T with them, and without a limit they come straight back to it.
 func (b *Balancer) overload(now time.Duration, s *server, keep float64) {
 	if now-s.hot < beat && s.limit > 0 {
 		return
@@ -533,6 +534,9 @@
 // recover raises limits while a server shows no trouble.
 func (b *Balancer) recover(now time.Duration) {
 	for _, s := range b.ready {
+		if s.n > 0 {
+			b.kindOf(s).seconds++
+		}
 		if s.limit == 0 {
 			continue
 		}
@@ -541,24 +545,22 @@
 		}
 		// The answer sets the limit. A relay probes in proportion to what it holds there:
 		// one probe a second from each of many relays would cost a server more than it brings.
-		if b.share >= 0 && !s.probing && b.rng.Float64()*deltaConns < float64(len(s.open)) {
+		if b.set.Probes && b.share >= 0 && !s.probing && b.rng.Float64()*deltaConns < float64(len(s.open)) {
 			s.probing = true
 			b.do.Probe(s.ID)
 		}
 	}
 }
 
-// Probed hears a probe's answer. A limited server that tells how full it is gets
-// the limit that fills it: guessing upwards takes long after every trouble. Where no
-// report tells it, an answer as late as the messages that notes tell of means full.
+// Probed hears a probe's answer. A limited server that tells how full it is gets the
+// limit that fills it. Where no report tells it, a late answer means full.
 func (b *Balancer) Probed(now time.Duration, r Report) {
 	s := b.servers[r.Backend]
 	if s == nil {
 		return
 	}
 	s.probing = false
-	full := 0.0
-	told := r.Status == OK && b.share >= 0 && b.share < len(r.Load)
+	told, full := r.Status == OK && b.share >= 0 && b.share < len(r.Load), 0.0
 	switch {
 	case told:
 		full = sane(float64(r.Load[b.share]))
@@ -658,7 +660,7 @@
 // resize sets sizes relative to the median weight. A weight that is absurdly large
 // would draw all keys to one server, none at all leave it idle.
 func (b *Balancer) resize() {
-	if len(b.ready) == 0 {
+	if b.set.Weights != WeightsNominal && b.set.Weights != WeightsRough || len(b.ready) == 0 {
 		return
 	}
 	weights := make([]float64, len(b.ready))
@@ -666,13 +668,10 @@
 		weights[i] = sane(s.Weight)
 	}
 	slices.Sort(weights)
-	median := weights[len(weights)/2]
+	median := max(weights[len(weights)/2], math.SmallestNonzeroFloat32)
 	sum := 0.0
 	for _, s := range b.ready {
-		s.size = 1
-		if sized := b.set.Weights == WeightsNominal || b.set.Weights == WeightsRough; sized && median > 0 {
-			s.size = min(max(sane(s.Weight)/median, 1.0/sizeSpan), sizeSpan)
-		}
+		s.size = min(max(sane(s.Weight)/median, 1.0/sizeSpan), sizeSpan)
 		sum += s.size
 	}
 	b.meanSize = sum / float64(len(b.ready))
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -684,3 +684,38 @@
 		}
 	}
 }
+
+// A client that was moved off a weak server would be sent back to it by every relay
+// in turn, as none of them has connections there.
+func TestReturningClientsShunKindsThatWereOftenLate(t *testing.T) {
+	atWeak := func(back bool, late int) int {
+		list := fleet(20)
+		for i := range list {
+			list[i].Kind = i % 2
+		}
+		n := 0
+		for seed := uint64(1); seed <= 200; seed++ {
+			r := &recorder{}
+			b := New(sec, seed, settings(), r)
+			b.List(sec, ListCached, list)
+			sent(t, b, r, sec, Request{ID: 1, Key: seed})
+			weak := b.calls[1].at
+			b.Began(sec, Outcome{ID: 1})
+			for now := 2 * sec; now < 32*sec; now += sec {
+				if now < sec*time.Duration(2+late) {
+					b.Note(now, 1, NoteDelay, 21)
+				}
+				b.Timer(now, tickToken)
+			}
+			b.Outcome(32*sec, Outcome{ID: 1, Backend: weak.ID, Status: Cancelled})
+			to := sent(t, b, r, 33*sec, Request{ID: 2, Key: seed, Back: back})
+			if b.servers[to].Kind == weak.Kind {
+				n++
+			}
+		}
+		return n
+	}
+	if calm, fresh, moved := atWeak(true, 0), atWeak(false, 30), atWeak(true, 30); calm != 200 || fresh != 200 || moved > 140 {
+		t.Errorf("of 200 stayed with the kind: %d of a calm one, %d new, %d returning", calm, fresh, moved)
+	}
+}
--- /dev/null
+++ b/balance/bench_test.go
@@ -0,0 +1,77 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// benchRelay is a relay with a few hundred connections on a fleet of n servers.
+func benchRelay(n int) (*Balancer, *recorder) {
+	s := settings()
+	s.Groups, s.Probes, s.Report, s.Relays = true, true, []Field{FieldLoadShare}, 400
+	r := &recorder{}
+	b := New(sec, 1, s, r)
+	list := fleet(n)
+	for i := range list {
+		list[i].Weight = float64(1 + i%3)
+	}
+	b.List(sec, ListFull, list)
+	for _, o := range b.ready {
+		o.heard = time.Hour
+	}
+	for id := uint64(1); id <= 300; id++ {
+		b.Request(sec, Request{ID: id, Key: id, Group: 1 + id%40, Left: 2 * sec})
+		b.Began(sec, Outcome{ID: id})
+	}
+	return b, r
+}
+
+func BenchmarkPlace(bench *testing.B) {
+	for _, n := range []int{12, 120, 480} {
+		bench.Run(fmt.Sprint(n), func(bench *testing.B) {
+			b, _ := benchRelay(n)
+			c := b.newCall(sec, Request{ID: 1 << 40, Key: 5, Left: 2 * sec})
+			bench.ReportAllocs()
+			for i := 0; bench.Loop(); i++ {
+				c.key = mix(uint64(i % 1000))
+				b.place(2*sec, c)
+			}
+		})
+	}
+}
+
+func BenchmarkRequest(bench *testing.B) {
+	for _, n := range []int{12, 120, 480} {
+		bench.Run(fmt.Sprint(n), func(bench *testing.B) {
+			b, r := benchRelay(n)
+			bench.ReportAllocs()
+			for id := uint64(1 << 30); bench.Loop(); id++ {
+				r.clear()
+				b.Request(2*sec, Request{ID: id, Key: id % 1000, Group: id % 40, Left: 2 * sec})
+				b.Began(2*sec, Outcome{ID: id})
+				b.Outcome(2*sec, Outcome{ID: id, Status: OK, Closed: true})
+			}
+		})
+	}
+}
+
+func BenchmarkUpkeep(bench *testing.B) {
+	for _, n := range []int{12, 120, 480} {
+		bench.Run(fmt.Sprint(n), func(bench *testing.B) {
+			b, r := benchRelay(n)
+			for i, o := range b.ready {
+				o.probing = true
+				if i%10 == 0 {
+					o.limit = 1e9
+				}
+			}
+			bench.ReportAllocs()
+			for now := 3 * sec; bench.Loop(); now += sec {
+				r.clear()
+				b.Timer(now, tickToken)
+				b.ready[0].limit = 1e9
+			}
+		})
+	}
+}
--- a/balance/books.go
+++ b/balance/books.go
@@ -48,6 +48,8 @@
 	moved     bool
 	grouped   bool
 	asks      int
+	shunned   [2]*server // passed by, though nothing speaks against them but their kind
+	shuns     int
 	asked     *server // held until this one has answered a probe
 	began     bool
 	done      bool // the final answer is out, or the client is gone
@@ -74,6 +76,9 @@
 	}
 }
 
+// kind is what this relay saw of servers of one kind while it had connections there.
+type kind struct{ late, seconds float64 }
+
 type diversion struct {
 	to *server
 	at time.Duration
@@ -81,7 +86,6 @@
 
 // Balancer is one relay's decisions.
 type Balancer struct {
-	late     float64 // recent share of attempts that timed out
 	taken    []int   // connections by tenant
 	share    int     // where a load report tells load over capacity; below 0: nowhere
 	budget   float64 // attempts beyond the first that requests may still make
@@ -94,11 +98,12 @@
 	held     []*call // waiting for a list or for a probe's answer
 	all      sums    // of all servers
 	divert   map[uint64]diversion
-	order    []uint64 // keys of divert, oldest first
-	usual    []float64
-	seen     []float64 // per class: how many told loads usual rests on
+	order    []uint64  // keys of divert, oldest first
+	usual    []float64 // by class what a connection usually loads; last: by all classes
+	seen     []float64 // how many told loads usual rests on
 	cleared  time.Duration
 	list     listState
+	kinds    map[int]*kind
 	meanSize float64 // of the ready servers
 	quickest float64 // a third of the shortest message aim, in milliseconds
 }
@@ -130,6 +135,16 @@
 	return c
 }
 
+// kindOf returns the books on a server's kind.
+func (b *Balancer) kindOf(s *server) *kind {
+	k := b.kinds[s.Kind]
+	if k == nil {
+		k = &kind{}
+		b.kinds[s.Kind] = k
+	}
+	return k
+}
+
 // record takes in a list's lines and sorts out who is ready.
 func (b *Balancer) record(now time.Duration, kind ListKind, lines []Backend) {
 	if kind != ListDelta { // who is not named in a whole list is gone
@@ -238,9 +253,10 @@
 	b.detach(c)
 	c.load = load
 	b.attach(c, s)
-	n := min(b.seen[c.Class]+1, 100)
-	b.seen[c.Class] = n
-	b.usual[c.Class] += (load - b.usual[c.Class]) / n
+	for _, i := range [2]int{c.Class, len(b.usual) - 1} {
+		b.seen[i] = min(b.seen[i]+1, 100)
+		b.usual[i] += (load - b.usual[i]) / b.seen[i]
+	}
 }
 
 // mix spreads the bits of a number; equal numbers mix alike on every relay.
