--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,7 +32,8 @@
 		s.MaxRetryAfter = 0
 	}
 	b := &Balancer{set: s, do: do, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
-		servers: map[BackendID]*server{}, kinds: map[int]*kind{}, calls: map[uint64]*call{}, divert: map[uint64]diversion{},
+		servers: map[BackendID]*server{}, calls: map[uint64]*call{}, divert: map[uint64]diversion{},
+		kinds: map[int]*kind{},
 		usual: make([]float64, len(s.Classes)+1), seen: make([]float64, len(s.Classes)+1),
 		all:     sums{untold: make([]int, len(s.Classes))},
 		taken:   make([]int, max(1, len(s.Tenants))),
@@ -140,7 +141,7 @@
 // usable says whether the connection may go to the server at all.
 func (b *Balancer) usable(now time.Duration, s *server, c *call) bool {
 	return s.State == StateReady && s.until <= now && b.allowed(now, s, c) && b.takesCold(now, s, c) &&
-		!slices.Contains(c.shunned[:c.shuns], s) && b.room(s, c) && !slices.Contains(c.tried[:min(c.tries, len(c.tried))], s)
+		!slices.Contains(c.shunned[:], s) && b.room(s, c) && !slices.Contains(c.tried[:], s)
 }
 
 // delta is Δ: connections' worth, relative to a server of mean size.
