--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,7 +17,6 @@
 	clearEvery = 10 * time.Second // B and F are forgotten this often
 	beat       = time.Second      // the rhythm of upkeep
 	headroom   = 0.75             // the share of what a server can do that it is filled to
-	holds      = 1e12             // added to a rendezvous score, it outranks any without
 	sizeSpan   = 8                // no server counts as more, or less by more, than so many usual ones
 	spread     = 3                // a group goes to no more than the first so many of its order
 	shunning   = 4                // how much likelier than it was late a kind is passed by
@@ -37,7 +36,7 @@
 		usual: make([]float64, len(s.Classes)+1), seen: make([]float64, len(s.Classes)+1),
 		all:     sums{untold: make([]int, len(s.Classes))},
 		taken:   make([]int, max(1, len(s.Tenants))),
-		cleared: now, budget: 1, meanSize: 1, quickest: math.Inf(1),
+		cleared: now, budget: 1, quickest: math.Inf(1),
 		share: slices.Index(s.Report, FieldLoadShare)}
 	for _, class := range s.Classes {
 		b.quickest = min(b.quickest, float64(class.MessageAim)/float64(3*time.Millisecond))
@@ -85,19 +84,9 @@
 
 // home is the first server in the key's rendezvous order, which all relays share.
 func (b *Balancer) home(now time.Duration, c *call) *server {
-	var first *server
-	best := 0.0
-	for _, s := range b.ready {
-		u := draw(c.key, s)
-		if s.size <= best*(1-u) { // its score is at most size/(1-u): spare the logarithm
-			continue
-		}
-		if score := rendezvous(u, s); score > best {
-			first, best = s, score
-		}
-	}
-	if first == nil || b.usable(now, first, c) {
-		return first
+	home := b.first(c.key, func(*server) bool { return true })
+	if home == nil || b.usable(now, home, c) {
+		return home
 	}
 	return b.overflow(now, c)
 }
@@ -105,38 +94,57 @@
 // overflow is the next server in the key's order where the home is suspended,
 // overloaded or cold: first one that holds some of the group already.
 func (b *Balancer) overflow(now time.Duration, c *call) *server {
-	var best *server
-	bestScore := 0.0
-	for _, s := range b.ready {
-		score := rendezvous(draw(c.key, s), s)
+	var next *server
+	best := 0.0
+	for _, s := range b.busy {
 		if c.grouped && s.groups[c.key] > 0 {
-			score += holds
-		}
-		if score > bestScore && b.usable(now, s, c) {
-			best, bestScore = s, score
+			if score, ok := (slot{s.hash, s.size}).beats(c.key, best); ok && b.usable(now, s, c) {
+				next, best = s, score
+			}
 		}
 	}
-	if best == nil || !c.grouped || best.groups[c.key] > 0 {
-		return best
+	if next != nil {
+		return next
+	}
+	next = b.first(c.key, func(s *server) bool { return b.usable(now, s, c) })
+	if next == nil || !c.grouped {
+		return next
 	}
 	ahead := 0 // in overload, groups scattered one by one cost more than they bring
-	for _, s := range b.ready {
-		if b.warmth(now, s) >= 1 && rendezvous(draw(c.key, s), s) > bestScore {
+	best, _ = slot{next.hash, next.size}.beats(c.key, 0)
+	for i, r := range b.ring {
+		if _, ok := r.beats(c.key, best); ok && b.warmth(now, b.ready[i]) >= 1 {
 			ahead++
 		}
 	}
 	if ahead >= spread {
 		return nil
 	}
-	return best
+	return next
 }
 
-// draw is a number between 0 and 1 for a key on a server.
-func draw(key uint64, s *server) float64 { return (float64(mix(key^s.hash)>>11) + 0.5) / (1 << 53) }
+// first is the ready server with the highest rendezvous score of those that pass.
+func (b *Balancer) first(key uint64, pass func(*server) bool) *server {
+	var first *server
+	best := 0.0
+	for i, r := range b.ring {
+		if score, ok := r.beats(key, best); ok && pass(b.ready[i]) {
+			first, best = b.ready[i], score
+		}
+	}
+	return first
+}
 
-// rendezvous scores a server for a key's draw; a larger server wins more keys, and
-// a change of one server moves only its own.
-func rendezvous(u float64, s *server) float64 { return -s.size / math.Log(u) }
+// beats scores a server for a key and says whether that is over a mark. A larger server
+// wins more keys, and a change of one server moves only its own.
+func (r slot) beats(key uint64, mark float64) (float64, bool) {
+	u := (float64(mix(key^r.hash)>>11) + 0.5) / (1 << 53)
+	if r.size <= mark*(1-u) { // the score is at most size/(1-u): spare the logarithm
+		return 0, false
+	}
+	score := -r.size / math.Log(u)
+	return score, score > mark
+}
 
 // usable says whether the connection may go to the server at all.
 func (b *Balancer) usable(now time.Duration, s *server, c *call) bool {
@@ -231,16 +239,15 @@
 	if b.ask(now, s, c) {
 		return
 	}
-	if c.tries < len(c.tried) {
-		c.tried[c.tries] = s
-	}
+	c.tried[min(c.tries, len(c.tried)-1)] = s
 	c.tries++
 	c.sent = now
 	b.attach(c, s)
 	if b.warmth(now, s) < 1 {
 		s.budget--
 	}
-	b.do.Send(c.ID, s.ID, b.patience(now, c))
+	// All the time there is: with set-ups slow everywhere, repeats of cut ones make a storm.
+	b.do.Send(c.ID, s.ID, c.deadline-now)
 }
 
 // shun says whether a client that came back passes a server by that this relay hears
@@ -295,8 +302,7 @@
 	}
 }
 
-// overShare says whether the request's tenant holds its share of connections here
-// already while half the servers are near their limits and room is short.
+// overShare says whether the tenant holds its share here while half the servers are full.
 func (b *Balancer) overShare(c *call) bool {
 	if c.Tenant >= len(b.set.Tenants) || b.set.OverShareWorth >= 1 || c.MidFlow {
 		return false
@@ -306,7 +312,7 @@
 		return false
 	}
 	near := 0
-	for _, s := range b.ready {
+	for _, s := range b.busy {
 		if s.limit > 0 && b.own(&s.sums) >= 0.8*s.limit {
 			near++
 		}
@@ -314,17 +320,6 @@
 	return 2*near >= len(b.ready)
 }
 
-// patience is an attempt's time-out: the class's aim or half of what is left while
-// another attempt can follow, else all the time there is. With set-ups slow everywhere
-// the repeats are soon spent, and no attempt is cut short to feed what slows them.
-func (b *Balancer) patience(now time.Duration, c *call) time.Duration {
-	left := c.deadline - now
-	if c.tries >= b.set.TryLimit || b.budget < 1 || b.set.Classes[c.Class].Effect == Unsafe {
-		return left
-	}
-	return min(left, max(b.set.Classes[c.Class].OnTime, left/2))
-}
-
 // allowed keeps rule 2: no effect happens twice.
 func (b *Balancer) allowed(now time.Duration, s *server, c *call) bool {
 	if !c.mayRan {
@@ -457,7 +452,7 @@
 // clear forgets backups and flags.
 func (b *Balancer) clear(now time.Duration) {
 	b.cleared = now
-	for _, s := range b.servers {
+	for _, s := range b.ready {
 		s.backup, s.flagged = nil, false
 	}
 }
@@ -475,15 +470,11 @@
 	case Full, Cancelled, Moot:
 		return
 	}
-	out := 1
-	for _, o := range b.ready {
-		if o.until > now {
-			out++
-		}
-	}
-	if s.until <= now && 3*out <= len(b.ready) {
+	b.out = slices.DeleteFunc(b.out, func(o *server) bool { return o.until <= now })
+	if s.until <= now && 3*len(b.out)+3 <= len(b.ready) {
 		s.bench = min(max(beat, 2*s.bench), 16*beat)
 		s.until = now + s.bench
+		b.out = append(b.out, s)
 	}
 }
 
@@ -532,13 +523,20 @@
 	}
 }
 
-// recover raises limits while a server shows no trouble.
+// recover raises limits while a server shows no trouble, and forgets them where
+// nothing is left to limit.
 func (b *Balancer) recover(now time.Duration) {
-	for _, s := range b.ready {
+	b.busy = slices.DeleteFunc(b.busy, func(s *server) bool {
+		if s.busy = s.n > 0 || now-s.hot < clearEvery; !s.busy {
+			s.limit = 0
+		}
+		return !s.busy
+	})
+	for _, s := range b.busy {
 		if s.n > 0 {
 			b.kindOf(s).seconds++
 		}
-		if s.limit == 0 {
+		if s.limit == 0 || s.State != StateReady {
 			continue
 		}
 		if now-s.hot >= 2*beat {
@@ -580,8 +578,8 @@
 	b.answered(now, s, full)
 }
 
-// answered takes in how full a server said to be. One without connections of this
-// relay brings no notes: its keys pass it by until it is asked again.
+// answered takes in how full a server said to be. Where this relay has no connections
+// no notes would tell more: keys pass by a full one until it is asked again.
 func (b *Balancer) answered(now time.Duration, s *server, full float64) {
 	s.heard, s.full = now, full
 	if s.n == 0 && full >= headroom {
@@ -661,21 +659,22 @@
 // resize sets sizes relative to the median weight. A weight that is absurdly large
 // would draw all keys to one server, none at all leave it idle.
 func (b *Balancer) resize() {
-	if b.set.Weights != WeightsNominal && b.set.Weights != WeightsRough || len(b.ready) == 0 {
-		return
-	}
 	weights := make([]float64, len(b.ready))
 	for i, s := range b.ready {
 		weights[i] = sane(s.Weight)
 	}
 	slices.Sort(weights)
-	median := max(weights[len(weights)/2], math.SmallestNonzeroFloat32)
 	sum := 0.0
+	b.ring = b.ring[:0]
 	for _, s := range b.ready {
-		s.size = min(max(sane(s.Weight)/median, 1.0/sizeSpan), sizeSpan)
+		if b.set.Weights == WeightsNominal || b.set.Weights == WeightsRough {
+			median := max(weights[len(weights)/2], math.SmallestNonzeroFloat32)
+			s.size = min(max(sane(s.Weight)/median, 1.0/sizeSpan), sizeSpan)
+		}
 		sum += s.size
+		b.ring = append(b.ring, slot{s.hash, s.size})
 	}
-	b.meanSize = sum / float64(len(b.ready))
+	b.meanSize = sum / float64(max(1, len(b.ready)))
 }
 
 func (b *Balancer) askList(now time.Duration) {
--- a/balance/books.go
+++ b/balance/books.go
@@ -27,6 +27,7 @@
 	limit   float64       // overload: the T that this server is seen to bear; 0: none seen
 	full    float64       // its last report's load over capacity; 0: none
 	heard   time.Duration // when it last answered a probe, or was given up on
+	busy    bool          // stands in the list of that name
 	probing bool          // a probe is out
 	hot     time.Duration // when it last showed overload
 	budget  float64       // cold: connections' worth this relay may send now
@@ -79,6 +80,12 @@
 // kind is what this relay saw of servers of one kind while it had connections there.
 type kind struct{ late, seconds float64 }
 
+// slot is what a rendezvous score needs of a server.
+type slot struct {
+	hash uint64
+	size float64
+}
+
 type diversion struct {
 	to *server
 	at time.Duration
@@ -94,6 +101,9 @@
 	rng      *rand.Rand
 	servers  map[BackendID]*server
 	ready    []*server // sorted by id
+	ring     []slot    // of ready, in its order: one look-up a request goes through them all
+	busy     []*server // with connections here, or that had a limit lately
+	out      []*server // suspended
 	calls    map[uint64]*call
 	held     []*call // waiting for a list or for a probe's answer
 	all      sums    // of all servers
@@ -203,6 +213,10 @@
 func (b *Balancer) attach(c *call, s *server) {
 	c.at, c.slot = s, len(s.open)
 	s.open = append(s.open, c)
+	if !s.busy {
+		s.busy = true
+		b.busy = append(b.busy, s)
+	}
 	s.groups[c.key]++
 	b.taken[c.Tenant]++
 	s.add(c, 1)
