--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,10 +18,9 @@
 	beat       = time.Second      // the rhythm of upkeep
 	headroom   = 0.75             // the share of what a server can do that it is filled to
 	sizeSpan   = 8                // no server counts as more, or less by more, than so many usual ones
-	spread     = 3                // a group goes to no more than the first so many of its order
+	spread     = 3                // a group goes to no more than the first so many of its order,
+	portion    = 16               // or such a part of the fleet while it has room
 	shunning   = 4                // how much likelier than it was late a kind is passed by
-	maxDivert  = 1 << 14          // diverted connections remembered
-	forget     = 10 * time.Minute // diversions and servers that are gone are kept this long
 	tickToken  = 1 << 63          // timers: upkeep; any other token is a request's deadline
 )
 
@@ -36,7 +35,7 @@
 		usual: make([]float64, len(s.Classes)+1), seen: make([]float64, len(s.Classes)+1),
 		all:     sums{untold: make([]int, len(s.Classes))},
 		taken:   make([]int, max(1, len(s.Tenants))),
-		cleared: now, budget: 1, quickest: math.Inf(1),
+		cleared: now, budget: 1, crowd: 1, quickest: math.Inf(1),
 		share: slices.Index(s.Report, FieldLoadShare)}
 	for _, class := range s.Classes {
 		b.quickest = min(b.quickest, float64(class.MessageAim)/float64(3*time.Millisecond))
@@ -117,7 +116,7 @@
 			ahead++
 		}
 	}
-	if ahead >= spread {
+	if ahead >= spread && (ahead >= len(b.ready)/portion || b.crowd > headroom) {
 		return nil
 	}
 	return next
@@ -268,7 +267,7 @@
 // nothing of it: no connection there that would bring notes, no report of late. Among
 // many relays each has connections on few servers: the others may be full unseen.
 func (b *Balancer) ask(now time.Duration, s *server, c *call) bool {
-	if !b.set.Probes || s.n > 0 || now-s.heard < 2*beat || c.MidFlow || c.asks == spread ||
+	if !b.set.Probes || s.n > 0 || now-s.heard < 2*beat || c.MidFlow || c.asks == 2*spread ||
 		c.deadline-now <= b.set.DialTimeout {
 		return false
 	}
@@ -563,6 +562,7 @@
 	switch {
 	case told:
 		full = sane(float64(r.Load[b.share]))
+		b.crowd += (min(full, 2) - b.crowd) / 8
 	case r.Status != OK || r.Latency.Seconds()*1000 > b.quickest:
 		full = 1
 	}
--- a/balance/books.go
+++ b/balance/books.go
@@ -11,6 +11,11 @@
 	"time"
 )
 
+const (
+	maxDivert = 1 << 14          // diverted connections remembered
+	forget    = 10 * time.Minute // diversions and servers that are gone are kept this long
+)
+
 // server is what this relay knows of a backend.
 type server struct {
 	Backend
@@ -114,6 +119,7 @@
 	cleared  time.Duration
 	list     listState
 	kinds    map[int]*kind
+	crowd    float64 // how full servers said to be of late; 1 where none says
 	meanSize float64 // of the ready servers
 	quickest float64 // a third of the shortest message aim, in milliseconds
 }
