--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,6 +14,7 @@
 
 const (
 	deltaConns = 4.0              // Δ in connections' worth
+	probeConns = 4.0              // so many connections on a limited server are worth a probe a second
 	clearEvery = 10 * time.Second // B and F are forgotten this often
 	beat       = time.Second      // the rhythm of upkeep
 	headroom   = 0.75             // the share of what a server can do that it is filled to
@@ -541,9 +542,8 @@
 		if now-s.hot >= 2*beat {
 			s.limit *= 1.1
 		}
-		// The answer sets the limit. A relay probes in proportion to what it holds there:
-		// one probe a second from each of many relays would cost a server more than it brings.
-		if b.set.Probes && b.share >= 0 && !s.probing && b.rng.Float64()*deltaConns < float64(len(s.open)) {
+		// The answer sets the limit. From each of many relays a probe a second would cost too much.
+		if b.set.Probes && b.share >= 0 && !s.probing && b.rng.Float64()*probeConns < float64(len(s.open)) {
 			s.probing = true
 			b.do.Probe(s.ID)
 		}
