--- a/cmd/drill/main_test.go
+++ b/cmd/drill/main_test.go
@@ -80,6 +80,38 @@
 	}
 }
 
+// fleetOf is a list of n servers with absurd weights among them.
+func fleetOf(n int) []byte {
+	b := binary.BigEndian.AppendUint32([]byte{70, 0, 0, 0, 0}, uint32(n))
+	weights := []float32{1, 0, -3, float32(math.Inf(1)), float32(math.NaN()), 1e30}
+	for i := range n {
+		b = append(b, 1, 0, 0, 0, 0)
+		b = binary.BigEndian.AppendUint32(b, math.Float32bits(weights[i%len(weights)]))
+		b = append(b, 10, 0, byte(i>>8), byte(i), 0, 80, 0, 0)
+		b = append(b, make([]byte, 8)...)
+	}
+	return b
+}
+
+func TestALongListCutOffAnywhereIsAnErrorWithItsOffset(t *testing.T) {
+	whole := batch(1000, about(3), configure(info), fleetOf(400), view(), call(5))
+	if err := run(bytes.NewReader(whole), new(bytes.Buffer)); err != nil {
+		t.Fatalf("whole: %v", err)
+	}
+	for cut := 1; cut < len(whole); cut += 97 {
+		err := run(bytes.NewReader(whole[:cut]), new(bytes.Buffer))
+		if err == nil || !strings.Contains(err.Error(), "offset") {
+			t.Fatalf("cut at %d: %v", cut, err)
+		}
+	}
+	// A frame that is complete but whose list claims more lines than it holds.
+	short := batch(1000, about(3), configure(info), fleetOf(400)[:5000])
+	err := run(bytes.NewReader(short), new(bytes.Buffer))
+	if err == nil || !strings.Contains(err.Error(), "offset") || !strings.Contains(err.Error(), "code 70") {
+		t.Errorf("short list: %v", err)
+	}
+}
+
 func TestEventsForUnknownInstancesAreIgnored(t *testing.T) {
 	var out bytes.Buffer
 	if err := run(bytes.NewReader(batch(1, about(9), call(1))), &out); err != nil || out.Len() != 8 {
