Clean-up: one probe, a server's hash and size as its slot, one count of connections

A new or mid-flow request no longer looks up its server's kind; the condition on late notes stands once; probes go out through one function; tests and benchmarks share their settings.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -94,24 +94,23 @@
 // overflow is the next server in the key's order where the home is suspended,
 // overloaded or cold: first one that holds some of the group already.
 func (b *Balancer) overflow(now time.Duration, c *call) *server {
-	var next *server
+	var holder *server
 	best := 0.0
 	for _, s := range b.busy {
-		if c.grouped && s.groups[c.key] > 0 {
-			if score, ok := (slot{s.hash, s.size}).beats(c.key, best); ok && b.usable(now, s, c) {
-				next, best = s, score
-			}
+		score, ok := s.beats(c.key, best)
+		if ok && c.grouped && s.groups[c.key] > 0 && b.usable(now, s, c) {
+			holder, best = s, score
 		}
 	}
-	if next != nil {
-		return next
+	if holder != nil {
+		return holder
 	}
-	next = b.first(c.key, func(s *server) bool { return b.usable(now, s, c) })
+	next := b.first(c.key, func(s *server) bool { return b.usable(now, s, c) })
 	if next == nil || !c.grouped {
 		return next
 	}
 	ahead := 0 // in overload, groups scattered one by one cost more than they bring
-	best, _ = slot{next.hash, next.size}.beats(c.key, 0)
+	best, _ = next.beats(c.key, 0)
 	for i, r := range b.ring {
 		if _, ok := r.beats(c.key, best); ok && b.warmth(now, b.ready[i]) >= 1 {
 			ahead++
@@ -254,9 +253,8 @@
 // nothing of: by chance, the likelier the more often servers of its kind were late.
 // Sent home by every relay in turn, it would be moved off the same weak server again.
 func (b *Balancer) shun(s *server, c *call) bool {
-	k := b.kindOf(s)
 	if !c.Back || c.MidFlow || s.n > 0 || c.shuns == len(c.shunned) ||
-		b.rng.Float64() >= shunning*k.late/(5+k.seconds) {
+		b.rng.Float64() >= shunning*b.kindOf(s).lateness() {
 		return false
 	}
 	c.shunned[c.shuns] = s
@@ -264,6 +262,9 @@
 	return true
 }
 
+// lateness is the share of seconds with late messages; the first few say little.
+func (k *kind) lateness() float64 { return k.late / (5 + k.seconds) }
+
 // ask holds a connection until its server has answered a probe, where this relay hears
 // nothing of it: no connection there that would bring notes, no report of late. Among
 // many relays each has connections on few servers: the others may be full unseen.
@@ -272,10 +273,7 @@
 		c.deadline-now <= b.set.DialTimeout {
 		return false
 	}
-	if !s.probing {
-		s.probing = true
-		b.do.Probe(s.ID)
-	}
+	b.probe(s)
 	c.asks++
 	c.asked, c.sent = s, now
 	b.held = append(b.held, c)
@@ -339,8 +337,7 @@
 	return false
 }
 
-// answer gives the final answer: refused where a retry is known to do no harm,
-// else failed.
+// answer gives the final answer: refused where a retry is known to do no harm, else failed.
 func (b *Balancer) answer(now time.Duration, c *call) {
 	class := &b.set.Classes[c.Class]
 	if !c.mayRan || class.Effect == Safe || class.Effect == Keyed && class.Scope == ScopeAll {
@@ -410,11 +407,11 @@
 	}
 	if kind == NoteDelay && v > b.quickest {
 		b.kindOf(c.at).late++
-	}
-	// Where reports tell the load they set the limit: notes would cut it to its floor
-	// while everything is slow. A report that claims room meanwhile is stale or wrong.
-	if kind == NoteDelay && v > b.quickest && (c.at.limit == 0 || c.at.full < headroom) {
-		b.overload(now, c.at, max(0.5, 1-0.05*v/b.quickest)) // the later, the less it bears
+		// Where reports tell the load they set the limit: notes would cut it to its floor
+		// while everything is slow. A report that claims room meanwhile is stale or wrong.
+		if c.at.limit == 0 || c.at.full < headroom {
+			b.overload(now, c.at, max(0.5, 1-0.05*v/b.quickest)) // the later, the less it bears
+		}
 	}
 	if kind == NoteLoad && sane(v) > 0 {
 		b.heard(c, v)
@@ -480,7 +477,7 @@
 
 // room says whether a server that has shown overload can bear the connection.
 func (b *Balancer) room(s *server, c *call) bool {
-	return s.limit == 0 || len(s.open) == 0 || b.own(&s.sums)+b.loadOf(c) <= s.limit
+	return s.limit == 0 || s.n == 0 || b.own(&s.sums)+b.loadOf(c) <= s.limit
 }
 
 // overload lowers what a server is held to bear to a part of its T. One that drops
@@ -498,11 +495,10 @@
 	b.relieve(s)
 }
 
-// relieve moves connections off a server until what stays is within its limit: with
-// all left there none would be served in time. Heavy ones go first, and those with few
-// of their group here: a split group costs both servers, one that leaves whole neither.
-// The last one goes by chance, in proportion: among many relays with a connection
-// or two each, none would ever be over by a whole one.
+// relieve moves connections off a server until what stays is within its limit: with all left there
+// none would be served in time. Heavy ones go first, and those with few of their group here: a split
+// group costs both servers, one that leaves whole neither. The last one goes by chance, in proportion:
+// among many relays with a connection or two each, none would ever be over by a whole one.
 func (b *Balancer) relieve(s *server) {
 	for excess := b.own(&s.sums) - s.limit; excess > 0; {
 		var pick *call
@@ -523,8 +519,7 @@
 	}
 }
 
-// recover raises limits while a server shows no trouble, and forgets them where
-// nothing is left to limit.
+// recover raises limits while a server shows no trouble, and forgets them where nothing is left to limit.
 func (b *Balancer) recover(now time.Duration) {
 	b.busy = slices.DeleteFunc(b.busy, func(s *server) bool {
 		if s.busy = s.n > 0 || now-s.hot < clearEvery; !s.busy {
@@ -543,13 +538,20 @@
 			s.limit *= 1.1
 		}
 		// The answer sets the limit. From each of many relays a probe a second would cost too much.
-		if b.set.Probes && b.share >= 0 && !s.probing && b.rng.Float64()*probeConns < float64(len(s.open)) {
-			s.probing = true
-			b.do.Probe(s.ID)
+		if b.set.Probes && b.share >= 0 && !s.probing && b.rng.Float64()*probeConns < float64(s.n) {
+			b.probe(s)
 		}
 	}
 }
 
+// probe asks a server how it does, unless a probe is out already.
+func (b *Balancer) probe(s *server) {
+	if !s.probing {
+		s.probing = true
+		b.do.Probe(s.ID)
+	}
+}
+
 // Probed hears a probe's answer. A limited server that tells how full it is gets the
 // limit that fills it. Where no report tells it, a late answer means full.
 func (b *Balancer) Probed(now time.Duration, r Report) {
@@ -627,7 +629,7 @@
 	conns, size := 0.0, 0.0
 	for _, o := range b.ready {
 		if b.warmth(now, o) >= 1 {
-			conns, size = conns+float64(len(o.open)), size+o.size
+			conns, size = conns+float64(o.n), size+o.size
 		}
 	}
 	if size > 0 {
@@ -672,7 +674,7 @@
 			s.size = min(max(sane(s.Weight)/median, 1.0/sizeSpan), sizeSpan)
 		}
 		sum += s.size
-		b.ring = append(b.ring, slot{s.hash, s.size})
+		b.ring = append(b.ring, s.slot)
 	}
 	b.meanSize = sum / float64(max(1, len(b.ready)))
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -507,11 +507,16 @@
 	}
 }
 
-// blindRelay is a relay among many, on a fleet that answers probes.
-func blindRelay(t *testing.T, n int) (*Balancer, *recorder) {
+// manyRelays are the settings of a relay among many, on a fleet that answers probes.
+func manyRelays() Settings {
 	s := settings()
 	s.Groups, s.Probes, s.Report, s.Relays = true, true, []Field{FieldLoadShare}, 400
-	return start(t, s, n)
+	return s
+}
+
+func blindRelay(t *testing.T, n int) (*Balancer, *recorder) {
+	t.Helper()
+	return start(t, manyRelays(), n)
 }
 
 // Among many relays each holds connections on few servers: the others may be full
--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -8,10 +8,8 @@
 
 // benchRelay is a relay with a few hundred connections on a fleet of n servers.
 func benchRelay(n int) (*Balancer, *recorder) {
-	s := settings()
-	s.Groups, s.Probes, s.Report, s.Relays = true, true, []Field{FieldLoadShare}, 400
 	r := &recorder{}
-	b := New(sec, 1, s, r)
+	b := New(sec, 1, manyRelays(), r)
 	list := fleet(n)
 	for i := range list {
 		list[i].Weight = float64(1 + i%3)
--- a/balance/books.go
+++ b/balance/books.go
@@ -20,8 +20,7 @@
 type server struct {
 	Backend
 	sums
-	hash    uint64
-	size    float64        // its weight in units of the fleet's median, what is absurd left out
+	slot
 	news    time.Duration  // when this relay learned of its present state
 	groups  map[uint64]int // its connections by key
 	open    []*call        // the pending and open connections, in no meaningful order
@@ -88,7 +87,7 @@
 // slot is what a rendezvous score needs of a server.
 type slot struct {
 	hash uint64
-	size float64
+	size float64 // its weight in units of the fleet's median, what is absurd left out
 }
 
 type diversion struct {
@@ -181,7 +180,7 @@
 	for id, s := range b.servers {
 		if s.State == StateReady {
 			b.ready = append(b.ready, s)
-		} else if s.State == StateGone && len(s.open) == 0 && now-s.news > forget {
+		} else if s.State == StateGone && s.n == 0 && now-s.news > forget {
 			delete(b.servers, id)
 		}
 	}
@@ -193,8 +192,9 @@
 func (b *Balancer) learn(now time.Duration, l Backend) *server {
 	s := b.servers[l.ID]
 	if s == nil {
-		s = &server{hash: mix(uint64(l.ID) * 0x9e3779b97f4a7c15), size: 1, news: now, heard: now - 2*beat,
-			sums: sums{untold: make([]int, len(b.set.Classes))}, groups: map[uint64]int{}}
+		s = &server{slot: slot{hash: mix(uint64(l.ID) * 0x9e3779b97f4a7c15), size: 1},
+			sums: sums{untold: make([]int, len(b.set.Classes))}, groups: map[uint64]int{},
+			news: now, heard: now - 2*beat}
 		b.servers[l.ID] = s
 	}
 	if l.State == StateReady && l.ReadyAt != s.ReadyAt {
