A LOAD line is the note that the settings promise: late messages, not a connection's load

Debug lines of all relays, counted by server: each LOAD line came once a second to one connection of every relay on that server, all with one value (23 to 2955), first over 20, and once more under 20 when the server had recovered. That is the note of late messages (a third of the 60 ms aim) that the settings promise with tells-delay; tells-load is off there.

Cause: Flow.FromBackend multiplied the value by 1000 and Node.heard gave it to the module as NoteLoad, so a connection on a late server weighed up to a million times another, and T, limits and relief were nonsense; NewNode cleared TellsDelay, so the module did not wait for notes. Ruled out: the loads being the connections' own (25 connections of different clients do not have equal loads to six digits).

Change: Node.note passes the line on as the settings say.

--- a/internal/machine/flow.go
+++ b/internal/machine/flow.go
@@ -90,14 +90,14 @@
 	ClientLeft             // before its final answer
 	AttemptEnded           // an attempt, or what stood
 	Stood
-	Told // the backend told the connection's load
+	Told // the backend sent a LOAD line
 )
 
 // Event is what a Node is to hear of a flow.
 type Event struct {
 	Kind    EventKind
 	Outcome balance.Outcome
-	Load    float64
+	Load    float64 // as the LOAD line gave it: Node.note knows what it measures
 }
 
 // Greeting is what the first bytes of a client ask for.
@@ -291,13 +291,13 @@
 }
 
 // FromBackend takes in all bytes of the backend that are not taken yet and says how
-// many go to the client; the event may tell the connection's load.
+// many go to the client; the event may carry a note.
 func (f *Flow) FromBackend(b []byte) (n int, ev Event, err error) {
 	_, n, err = f.down.feed(b)
 	if err == nil && n > 0 {
 		f.asked.Store(0)
-		if f.down.load > 0 { // in milliseconds of work a second, as a guess in OPEN is
-			ev = Event{Kind: Told, Load: f.down.load * 1000}
+		if f.down.load > 0 {
+			ev = Event{Kind: Told, Load: f.down.load}
 		}
 	}
 	return n, ev, err
--- a/internal/machine/machine_test.go
+++ b/internal/machine/machine_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"container/heap"
 	"errors"
+	"fmt"
 	"go/ast"
 	"go/parser"
 	"go/token"
@@ -237,6 +238,46 @@
 	}
 }
 
+// noted is a Decider that keeps the notes it hears.
+type noted struct {
+	Decider
+	notes *[]string
+}
+
+func (d noted) Note(_ time.Duration, _ uint64, kind balance.NoteKind, v float64) {
+	*d.notes = append(*d.notes, fmt.Sprint(kind, " ", v))
+}
+
+// A LOAD line does not say what it measures; the settings do. A message's milliseconds at a late backend
+// taken for a connection's load would swell T there.
+func TestALoadLineIsTheNoteThatTheSettingsPromise(t *testing.T) {
+	for _, tc := range []struct {
+		load, delay bool
+		want        string
+	}{{false, true, "2 412.5"}, {true, false, "1 412500"}, {true, true, "1 412500"}, {false, false, "1 412500"}} {
+		cfg := testConfig()
+		cfg.Settings.TellsLoad, cfg.Settings.TellsDelay = tc.load, tc.delay
+		var notes []string
+		var told bool
+		cfg.Decide = func(now time.Duration, seed uint64, s balance.Settings, do balance.Actions) Decider {
+			told = s.TellsDelay
+			return noted{balance.New(now, seed, s, do), &notes}
+		}
+		n, _ := node(t, cfg)
+		f := greeted(t, n, 1, "OPEN 0000000000000001 0000000000000007 c=chat,d=1000\r\n")
+		n.Opened(time.Second, f)
+		f.down.began = true // its UP is through
+		_, ev, err := f.FromBackend([]byte("LOAD 412.5\r\n"))
+		if err != nil || ev.Kind != Told {
+			t.Fatal(ev, err)
+		}
+		n.Heard(time.Second, 1, ev)
+		if !slices.Equal(notes, []string{tc.want}) || told != (tc.delay && !tc.load) {
+			t.Errorf("load %v, delay %v: notes %q, the module waits for late messages: %v", tc.load, tc.delay, notes, told)
+		}
+	}
+}
+
 // Any backend but its own resets a connection that comes mid-flow; that is no failure of the backend's.
 func TestAResetMidFlowIsNotHeldAgainstTheBackend(t *testing.T) {
 	for _, mid := range []string{",mid=1", ""} {
--- a/internal/machine/node.go
+++ b/internal/machine/node.go
@@ -143,9 +143,7 @@
 
 // NewNode checks a configuration and starts the books.
 func NewNode(now time.Duration, cfg Config, host Host, log *zap.Logger) (*Node, error) {
-	// No line tells how long a message takes at its backend: a line comes back at once from a backend
-	// that is nine times slower than usual (measured). Left set, this would keep the module waiting for notes.
-	cfg.Settings.TellsDelay = false
+	cfg.Settings = oneNote(cfg.Settings)
 	n := &Node{cfg: cfg, log: log, host: host, born: now, now: now, flows: map[uint64]*call{}, ids: map[uint64]*call{},
 		backends: map[balance.BackendID]*Backend{}}
 	s := cfg.Settings // a copy: a reload replaces cfg whole
@@ -166,6 +164,13 @@
 	return n, nil
 }
 
+// oneNote settles what a LOAD line means, since it does not say which kind of note it carries: a
+// connection's load where backends tell that, else, where the settings promise it, how long a message takes.
+func oneNote(s settings.Settings) settings.Settings {
+	s.TellsDelay = s.TellsDelay && !s.TellsLoad
+	return s
+}
+
 // known reads the list that a configuration holds, if any, by the names in force.
 func (c *Config) known(names *settings.Settings) (Members, error) {
 	if len(c.Known) == 0 {
@@ -357,7 +362,7 @@
 			changed = append(changed, "routes") // an open request keeps the timing that it began with
 		}
 	})
-	cfg.Settings.TellsDelay = false
+	cfg.Settings = oneNote(cfg.Settings)
 	for _, part := range []struct {
 		name string
 		same bool
@@ -474,7 +479,7 @@
 		n.balancer.Began(n.now, e.Outcome)
 	case Told:
 		n.log.Debug("told", zap.Uint64("flow", c.seq), zap.String("backend", c.holder), zap.Float64("load", e.Load))
-		n.balancer.Note(n.now, c.seq, balance.NoteLoad, e.Load)
+		n.note(c, e.Load)
 	case AttemptEnded:
 		o := e.Outcome
 		c.settled++
@@ -487,6 +492,16 @@
 	}
 }
 
+// note passes a LOAD line on as the kind of note that the settings promise. Taken for the connection's own
+// load, a late message's milliseconds raise T by orders of magnitude on the very backend that is late.
+func (n *Node) note(c *call, v float64) {
+	if n.set.TellsDelay {
+		n.balancer.Note(n.now, c.seq, balance.NoteDelay, v)
+		return
+	}
+	n.balancer.Note(n.now, c.seq, balance.NoteLoad, v*1000) // in milliseconds of work a second, as a guess in OPEN is
+}
+
 // answered counts a request as no longer owed an answer.
 func (n *Node) answered(c *call) {
 	if !c.finished {
