--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,7 +17,7 @@
 	watchConns = 16.0             // and so many on any server where no note tells of late messages
 	clearEvery = 10 * time.Second // B and F are forgotten this often
 	beat       = time.Second      // the rhythm of upkeep
-	drainTime  = 4 * time.Second  // a draining server's connections have moved by then
+	drainTime  = 8 * time.Second  // a draining server's connections have moved by then
 	headroom   = 0.75             // the share of what a server can do that it is filled to
 	blindRoom  = 0.6              // the same where no note tells of late messages: reports are old
 	lagging    = 1.3              // answers to probes that take so many times the usual lag
@@ -438,10 +438,13 @@
 	}
 	if kind == NoteDelay && v > b.quickest {
 		b.kindOf(c.at).late++
-		// Where reports tell the load they set the limit: notes would cut it to its floor
-		// while everything is slow. A report that claims room meanwhile is stale or wrong.
-		if c.at.limit == 0 || c.at.full < headroom {
-			b.overload(now, c.at, max(0.5, 1-0.05*v/b.quickest)) // the later, the less it bears
+		// Where reports tell the load they set the limit: notes would cut it to its floor while everything is
+		// slow, and one that claims room is stale or wrong. But what is piled up keeps all late until it is
+		// worked off, which a server that is nearly full never does: what stays leaves room for it in a beat.
+		keep := max(0.5, 1-0.05*v/b.quickest) // the later, the less it bears
+		pile := v / float64(beat/time.Millisecond)
+		if c.at.limit == 0 || c.at.full < headroom || 1-pile < keep {
+			b.overload(now, c.at, max(0.1, min(keep, 1-pile)))
 		}
 	}
 	if kind == NoteLoad && sane(v) > 0 {
@@ -702,7 +705,7 @@
 }
 
 // refill adds to a cold server's budget. What it can do is guessed from what this
-// relay has on others of its size, and filled no faster than over the warm-up.
+// relay has on others of its size; their load over a warm-up pushes no server over.
 func (b *Balancer) refill(now time.Duration, s *server, warmth float64) {
 	if s.filled == 0 {
 		// The first one comes after a random part of the gap: relays learn of a start
@@ -715,8 +718,8 @@
 			conns, size = conns+float64(o.n), size+o.size
 		}
 	}
-	if size > 0 {
-		rate := conns / size * s.size * warmth / b.set.WarmUp.Seconds()
+	if size > 0 { // half of what would push it over; one that has just started itself has no connections yet
+		rate := b.set.FallMultiple / 2 * max(conns, 1) / size * s.size * warmth / b.set.WarmUp.Seconds()
 		s.budget = min(max(1, rate*b.set.FallSpan.Seconds()), s.budget+rate*(now-s.filled).Seconds())
 	}
 	s.filled = now
