Relays share the room that an old report shows among clients that come back

Each relay sent one or two. While the pile was worked off 40 to 100 connections a second were late, others waited.

Cause: answered (balance.go) let every relay that read of room fill it; each saw less than a connection of its own there, so neither T nor Δ nor a limit could tell. Reports are up to two seconds old.

Change: a relay's part of the room is what fills it (its own connections a server, over the usual fullness), by chance below one connection, for clients that come back only. Those are what comes in one wave.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,6 +24,7 @@
 	sizeSpan   = 8                // no server counts as more, or less by more, than so many usual ones
 	spread     = 3                // a group goes to no more than the first so many of its order,
 	portion    = 16               // or such a part of the fleet while it has room
+	askers     = 8                // one relay in so many asks a given server while a report is old
 	shunning   = 4                // how much likelier than it was late a kind is passed by
 	tickToken  = 1 << 63          // timers: upkeep; any other token is a request's deadline
 )
@@ -673,12 +674,24 @@
 // no notes would tell more: keys pass by a full one until it is asked again.
 func (b *Balancer) answered(now time.Duration, s *server, full float64) {
 	s.heard, s.full = now, full
-	if s.n == 0 && full >= headroom {
+	if s.n == 0 && (full >= headroom || b.rushed(s, full)) {
 		s.until = now + 2*beat
 	}
 	b.resume(now, s)
 }
 
+// rushed says whether a server with room is to be passed by all the same, for clients that come back. When
+// servers go, all relays' clients come back together, and every relay reads of the same room in a report that
+// is old: one that was half full got all of them. Each relay fills its part of the room, by chance if that is
+// less than a connection: its own connections on a server of the usual fullness say how many fill one.
+func (b *Balancer) rushed(s *server, full float64) bool {
+	if !slices.ContainsFunc(b.held, func(c *call) bool { return c.asked == s && c.Back && !c.done }) {
+		return false
+	}
+	fills := max(1, float64(b.all.n)) / float64(max(1, len(b.ready))) / max(b.crowd, 0.1)
+	return b.rng.Float64() > askers*(headroom-full)*fills
+}
+
 // --- cold servers ----------------------------------------------------------------
 
 // takesCold says whether a starting server takes this key now: a rising share of
