Room is shared among clients that come back only while servers have lately left

Cause: where relays die and no server does, the clients that come back have left their room behind, and passing servers by refused them.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -674,18 +674,19 @@
 // no notes would tell more: keys pass by a full one until it is asked again.
 func (b *Balancer) answered(now time.Duration, s *server, full float64) {
 	s.heard, s.full = now, full
-	if s.n == 0 && (full >= headroom || b.rushed(s, full)) {
+	if s.n == 0 && (full >= headroom || b.rushed(now, s, full)) {
 		s.until = now + 2*beat
 	}
 	b.resume(now, s)
 }
 
-// rushed says whether a server with room is to be passed by all the same, for clients that come back. When
+// rushed says whether a server with room is to be passed by all the same, for clients that come back. While
 // servers go, all relays' clients come back together, and every relay reads of the same room in a report that
 // is old: one that was half full got all of them. Each relay fills its part of the room, by chance if that is
 // less than a connection: its own connections on a server of the usual fullness say how many fill one.
-func (b *Balancer) rushed(s *server, full float64) bool {
-	if !slices.ContainsFunc(b.held, func(c *call) bool { return c.asked == s && c.Back && !c.done }) {
+func (b *Balancer) rushed(now time.Duration, s *server, full float64) bool {
+	if b.lost == 0 || now-b.lost >= clearEvery ||
+		!slices.ContainsFunc(b.held, func(c *call) bool { return c.asked == s && c.Back && !c.done }) {
 		return false
 	}
 	fills := max(1, float64(b.all.n)) / float64(max(1, len(b.ready))) / max(b.crowd, 0.1)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -612,29 +612,31 @@
 // After a loss the clients of all relays come back within a second, and a report is as old: if each relay
 // sent one to the server that it reads has room, the server would be pushed from half full to twice its load.
 func TestRelaysShareTheRoomOfAnOldReportAmongClientsThatComeBack(t *testing.T) {
-	takes := func(back bool, conns uint64, full float32) int {
-		n := 0
+	const start = sec
+	takes := func(back bool, since time.Duration, conns uint64, full float32) int {
+		n, now := 0, start+since
 		for relay := range 80 {
 			s := settings()
 			s.Relays, s.Groups, s.Probes, s.Report = 80, true, true, []Field{FieldLoadShare}
 			r := &recorder{}
-			b := New(sec, uint64(relay), s, r)
-			b.List(sec, ListCached, fleet(10))
+			b := New(start, uint64(relay), s, r)
+			b.List(start, ListCached, fleet(11))
+			b.List(start, ListDelta, []Backend{{ID: 11, State: StateGone}})
 			ready := b.ready
 			for i := range conns { // spread over all servers but the one asked for
-				c := b.newCall(sec, Request{ID: 100 + i, Group: 100 + i})
+				c := b.newCall(now, Request{ID: 100 + i, Group: 100 + i})
 				b.attach(c, ready[1+i%9])
 			}
 			for i := range 64 {
-				b.Probed(sec, Report{Backend: ready[1+i%9].ID, Load: []float32{0.5}})
+				b.Probed(now, Report{Backend: ready[1+i%9].ID, Load: []float32{0.5}})
 			}
 			group := uint64(1)
 			for b.first(mix(group), func(*server) bool { return true }) != ready[0] {
 				group++
 			}
-			b.Request(sec, Request{ID: 1, Group: group, Left: 2 * sec, Back: back})
+			b.Request(now, Request{ID: 1, Group: group, Left: 2 * sec, Back: back})
 			r.clear()
-			b.Probed(sec+ms, Report{Backend: ready[0].ID, Load: []float32{full}})
+			b.Probed(now+ms, Report{Backend: ready[0].ID, Load: []float32{full}})
 			for _, a := range r.take("send") {
 				if a.to == ready[0].ID {
 					n++
@@ -643,18 +645,22 @@
 		}
 		return n
 	}
-	if n := takes(true, 3, 0.65); n < 5 || n > 60 {
+	if n := takes(true, 0, 3, 0.65); n < 5 || n > 60 {
 		t.Errorf("80 relays with 3 connections each sent %d clients that came back to a server at 65%%", n)
 	}
-	if full, empty := takes(true, 3, 0.7), takes(true, 3, 0.6); full >= empty {
+	if full, empty := takes(true, 0, 3, 0.7), takes(true, 0, 3, 0.6); full >= empty {
 		t.Errorf("%d go to a server at 70%%, %d to one at 60%%", full, empty)
 	}
-	if n := takes(true, 90, 0.65); n != 80 {
+	if n := takes(true, 0, 90, 0.65); n != 80 {
 		t.Errorf("of relays with ten connections on each server only %d of 80 send another to one at 65%%", n)
 	}
-	if n := takes(false, 3, 0.65); n != 80 {
+	if n := takes(false, 0, 3, 0.65); n != 80 {
 		t.Errorf("only %d of 80 new clients went to a server with room", n)
 	}
+	// Where relays died and no server, the clients that come back have left their room behind.
+	if n := takes(true, clearEvery, 3, 0.65); n != 80 {
+		t.Errorf("%d of 80 clients that came back long after the last loss went to a server with room", n)
+	}
 }
 
 func TestAskingEnds(t *testing.T) {
--- a/balance/books.go
+++ b/balance/books.go
@@ -160,6 +160,7 @@
 	cleared  time.Duration
 	leaves   time.Duration // when this relay stops; 0: not soon
 	list     listState
+	lost     time.Duration // when a ready server last ceased to be; 0: never
 	kinds    map[int]*kind
 	crowd    float64 // how full servers said to be of late; 1 where none says
 	tells    int     // load reports heard
@@ -219,6 +220,7 @@
 		}
 		for _, s := range b.servers {
 			if !named[s.ID] && s.State != StateGone {
+				b.loses(now, s)
 				s.State, s.news = StateGone, now
 			}
 		}
@@ -252,11 +254,19 @@
 	}
 	if l.State != s.State {
 		s.news = now
+		b.loses(now, s)
 	}
 	s.Backend = l
 	return s
 }
 
+// loses takes in that a server is about to change its state.
+func (b *Balancer) loses(now time.Duration, s *server) {
+	if s.State == StateReady {
+		b.lost = now
+	}
+}
+
 // sane drops loads that are not a positive number.
 func sane(v float64) float64 {
 	if v > 0 && !math.IsInf(v, 0) {
