The shrinking test takes a seed on which the reload alone breaks the rule

With the module's new text the first failing seed was one on which a slower network is what lets the old watch be caught, so the script rightly shrank to two faults and the test failed.

--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -142,7 +142,15 @@
 	opt := Options{Break: BreakOldWatch, Script: []Fault{{Kind: "datagrams lost", At: 5 * time.Second, For: 5 * time.Second},
 		{Kind: "reload to another agent", At: 6 * time.Second, For: 5 * time.Second},
 		{Kind: "network slow", At: 12 * time.Second, For: 5 * time.Second, Much: 0.1}}}
-	for opt.Seed = 0; len(Run(opt).Broken) == 0; opt.Seed++ {
+	// On some seeds a slower network is what lets the old watch be caught: one is taken on which the reload
+	// alone is, and with either of the others too.
+	fails := func(script ...Fault) bool {
+		o := opt
+		o.Script = script
+		return len(Run(o).Broken) > 0
+	}
+	lost, reload, slow := opt.Script[0], opt.Script[1], opt.Script[2]
+	for opt.Seed = 0; !fails(lost, reload, slow) || !fails(reload, slow) || !fails(reload); opt.Seed++ {
 		if opt.Seed > 200 {
 			t.Fatal("no seed fails")
 		}
