A second address for staff; a drained relay says no and moves its clients evenly

The second address (internal/management) reads what is published and never waits for the loop: figures are counted where the thing happens, in a Ledger of atomic counts that flows and attempts write and a reading takes at once; what only the module knows (backends it avoids) the loop publishes five times a second. DRAIN sets a flag that PING reads at once and leaves word for the loop. Callers with no whole call have a lobby of their own, the oldest gives way, and descriptors are set aside for it. A drain is the module's Leave with a time, called off by a time of 0. Moves go in tenths of a second and no longer by way of the servers' limits: before, a relay that was to leave by beats of a second moved in lumps, and each limit that it had lowered stood after the drain. Not taken: limits put back at UNDRAIN, since what the servers showed meanwhile would be lost.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,7 +26,9 @@
 	portion    = 16               // or such a part of the fleet while it has room
 	askers     = 8                // one relay in so many asks a given server while a report is old
 	shunning   = 4                // how much likelier than it was late a kind is passed by
-	tickToken  = 1 << 63          // timers: upkeep; any other token is a request's deadline
+	step       = beat / 10        // the rhythm of moves off a relay that stops or is drained
+	tickToken  = 1 << 63          // timers: upkeep,
+	leaveToken = tickToken + 1    // and those moves; any other token is a request's deadline
 )
 
 // New starts a relay's decisions.
@@ -455,10 +457,14 @@
 
 // Timer hears a timer that this module asked for.
 func (b *Balancer) Timer(now time.Duration, token uint64) {
-	if token == tickToken {
+	switch token {
+	case tickToken:
 		b.upkeep(now)
 		b.do.After(tickToken, beat)
 		return
+	case leaveToken:
+		b.leave(now)
+		return
 	}
 	c := b.calls[token] // an attempt's own time-out reports no later than the deadline
 	switch {
@@ -524,15 +530,15 @@
 		t = min(t, s.limit)
 	}
 	s.limit = max(t, b.meanLoad()) * keep
-	b.relieve(s)
+	b.relieve(s, s.limit)
 }
 
-// relieve moves connections off a server until what stays is within its limit: with all left there
+// relieve moves connections off a server until what stays is within a limit: with all left there
 // none would be served in time. Heavy ones go first, and those with few of their group here: a split
 // group costs both servers, one that leaves whole neither. The last one goes by chance, in proportion:
 // among many relays with a connection or two each, none would ever be over by a whole one.
-func (b *Balancer) relieve(s *server) {
-	for excess := b.own(&s.sums) - s.limit; excess > 0; {
+func (b *Balancer) relieve(s *server, limit float64) {
+	for excess := b.own(&s.sums) - limit; excess > 0; {
 		var pick *call
 		best := 0.0
 		for _, c := range s.open {
@@ -563,8 +569,10 @@
 		if s.n > 0 {
 			b.kindOf(s).seconds++
 		}
-		if s.State != StateReady || b.leaves > 0 {
-			b.depart(now, s)
+		if s.State == StateDraining {
+			b.depart(now, s, s.news+drainTime, beat)
+		} else if s.State == StateGone {
+			b.depart(now, s, now, beat)
 		}
 		if s.State != StateReady || s.limit == 0 && b.set.TellsDelay {
 			continue
@@ -583,29 +591,33 @@
 	}
 }
 
-// depart moves a server's connections on before it stops, or before this relay does: those still
-// there then would break together and come back in one wave. They go in equal parts, a beat each.
-func (b *Balancer) depart(now time.Duration, s *server) {
-	end := s.news // gone: at once
-	switch s.State {
-	case StateDraining:
-		end += drainTime
-	case StateReady:
-		end = b.leaves
+// depart moves a server's connections on by a time, before it stops or before this relay does: those
+// still there then would break together and come back in one wave. They go in equal parts, one a step.
+func (b *Balancer) depart(now time.Duration, s *server, by, step time.Duration) {
+	b.relieve(s, b.own(&s.sums)*(1-float64(step)/float64(max(step, by-now))))
+}
+
+// Leave hears that no connection is to be here by a time, since this relay stops or is drained; 0: it is
+// to stay after all. Where packets pass through, another takes over. Until then it serves who still comes.
+func (b *Balancer) Leave(now, at time.Duration) {
+	if b.set.PassThrough {
+		return
 	}
-	if b.leaves > 0 { // a drain told just before this relay leaves does not wait beyond its end
-		end = min(end, b.leaves)
+	b.leaves = at
+	if at > 0 && !b.stepping {
+		b.stepping = true
+		b.do.After(leaveToken, 0)
 	}
-	s.limit = b.own(&s.sums) * (1 - float64(beat)/float64(max(beat, end-now)))
-	b.relieve(s)
 }
 
-// Leave hears that this relay stops at a time. Where packets pass through, another takes over.
-func (b *Balancer) Leave(now, at time.Duration) {
-	if !b.set.PassThrough {
-		b.leaves = at
-		b.recover(now)
+func (b *Balancer) leave(now time.Duration) {
+	if b.stepping = b.leaves > 0; !b.stepping {
+		return
+	}
+	for _, s := range b.busy {
+		b.depart(now, s, b.leaves, step)
 	}
+	b.do.After(leaveToken, step)
 }
 
 // probe asks a server how it does, unless a probe is out already.
@@ -656,7 +668,7 @@
 		}
 		if full > mark && now-s.hot >= 2*beat { // reports are old: the last relief may not show yet
 			s.hot = now
-			b.relieve(s)
+			b.relieve(s, s.limit)
 		}
 	}
 	b.answered(now, s, full)
--- a/balance/books.go
+++ b/balance/books.go
@@ -158,7 +158,8 @@
 	usual    []float64 // by class what a connection usually loads; last: by all classes
 	seen     []float64 // how many told loads usual rests on
 	cleared  time.Duration
-	leaves   time.Duration // when this relay stops; 0: not soon
+	leaves   time.Duration // by when no connection is to be here; 0: they may stay
+	stepping bool          // the timer of moves off this relay is set
 	list     listState
 	lost     time.Duration // when a ready server last ceased to be; 0: never
 	kinds    map[int]*kind
@@ -460,3 +461,18 @@
 	}
 	return b.all.n, byServer
 }
+
+// Avoided is how many servers the list holds, and how many of them get nothing new now: draining,
+// suspended or held to be full.
+func (b *Balancer) Avoided(now time.Duration) (listed, avoided int) {
+	for _, s := range b.servers {
+		if s.State == StateGone {
+			continue
+		}
+		listed++
+		if s.State == StateDraining || s.until > now || s.limit > 0 && s.n > 0 && b.own(&s.sums) >= s.limit {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
--- a/cmd/aspenbarrow/main.go
+++ b/cmd/aspenbarrow/main.go
@@ -79,6 +79,7 @@
 	if err == nil {
 		err = r.Reload(cfg.Relay)
 	}
+	r.Reloaded(err == nil)
 	if err != nil {
 		log.Error("configuration not taken, the running one stays", zap.Error(err))
 		return
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -197,7 +197,11 @@
 	}
 }
 
-func (p *policy) Leave(_, _ time.Duration) { p.move(func(*call) bool { return true }) }
+func (p *policy) Leave(_, at time.Duration) {
+	if at > 0 {
+		p.move(func(*call) bool { return true })
+	}
+}
 
 func (p *policy) Connections() (all, byServer int) {
 	for _, c := range p.calls {
@@ -215,3 +219,7 @@
 func (p *policy) Timer(time.Duration, uint64)                           {}
 func (p *policy) Probed(time.Duration, balance.Report)                  {}
 func (p *policy) Peer(time.Duration, int, []byte)                       {}
+
+func (p *policy) Avoided(time.Duration) (listed, avoided int) {
+	return len(p.state), len(p.state) - len(p.ready)
+}
--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -10,6 +10,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -86,8 +87,75 @@
 	has    map[string]map[string]mark // by agent's address
 	out    map[string]time.Duration   // when an agent was last silent; far away: still
 	starts map[string]time.Duration   // of the backends, as told
+	toldAt time.Duration              // when the list last changed
+	list   map[string]string          // it, as it stands
+	seen   Seen
+	drain  time.Duration // when it was told to send clients away; 0: it was not
 }
 
+// Seen is what an onlooker counted of a relay since its process started.
+type Seen struct {
+	Success, Overload, Error map[string]int // final answers by class
+	Loose                    int            // requests that may be counted in any way: the client had gone, or was at fault
+	Attempts                 int
+	Standing, Open           int  // connections that certainly have not ended; that may not have
+	Targets, Draining        int  // in the list
+	Settled                  bool // the list has not changed for a while
+}
+
+// Seen counts a relay's life up to now.
+func (c *Checker) Seen(relay int) Seen {
+	r := &c.relays[relay]
+	s := r.seen
+	for _, x := range c.clients {
+		if x.relay != relay || !x.live() || x.req == nil || x.req.class == nil || x.answered && x.pair == nil {
+			continue
+		}
+		s.Open++
+		if x.ended == 0 && (x.pair == nil || x.pair.ended == 0) && !x.odd {
+			s.Standing++
+		}
+	}
+	for _, state := range r.list {
+		switch state {
+		case "draining":
+			s.Draining++
+			s.Targets++
+		case "ready":
+			s.Targets++
+		}
+	}
+	s.Settled = c.now()-r.toldAt > 500*time.Millisecond
+	return s
+}
+
+// Drained says that a relay is told to send its clients away, or to take them again.
+func (c *Checker) Drained(relay int, on bool) {
+	r := &c.relays[relay]
+	if !on {
+		r.drain = 0
+		return
+	}
+	if r.drain != 0 {
+		return
+	}
+	r.drain = c.now()
+	at, life := r.drain, r.life
+	c.in(drainedBy, func() {
+		if r.drain != at || r.life != life || !r.up {
+			return
+		}
+		for _, x := range c.clients {
+			if x.relay == relay && x.live() && x.pair != nil && !x.moved && x.ended == 0 && x.pair.ended == 0 && !x.blocked {
+				c.fail("drained", "relay %d still holds client %d, %v after it was told to drain", relay, x.id, c.now()-at)
+			}
+		}
+	})
+}
+
+// drainedBy is how long after a drain's call nobody is held any more.
+const drainedBy = 4 * time.Second
+
 type mark struct {
 	state string
 	at    time.Duration
@@ -136,6 +204,8 @@
 	r := &c.relays[relay]
 	r.life++
 	r.up, r.upAt, r.agent, r.since, r.told, r.starts = true, c.now(), agent, c.now(), map[string]mark{}, map[string]time.Duration{}
+	r.toldAt, r.drain, r.list = c.now(), 0, maps.Clone(known)
+	r.seen = Seen{Success: map[string]int{}, Overload: map[string]int{}, Error: map[string]int{}}
 	for name, state := range known {
 		r.told[name] = mark{state, c.now()}
 	}
@@ -155,9 +225,14 @@
 // Told says that an answer of discovery has arrived at a relay.
 func (c *Checker) Told(relay int, full bool, states map[string]string, starts map[string]time.Duration) {
 	r := &c.relays[relay]
+	r.toldAt = c.now()
 	for name, at := range starts {
 		r.starts[name] = at
 	}
+	if full {
+		r.list = map[string]string{}
+	}
+	maps.Copy(r.list, states)
 	if full {
 		for name, m := range r.told {
 			if _, ok := states[name]; !ok && m.state != "gone" {
@@ -261,6 +336,7 @@
 	pings     int  // without an answer
 	told      bool // ERR to one of them
 	spoken    bool // said a whole first line that was no probe
+	odd       bool // and more before its answer, or what is no line of the protocol
 	answered  bool
 	pair      *Backend // after UP
 	moved     bool
@@ -303,13 +379,16 @@
 		x.pair.waits(b)
 		return
 	}
+	was := x.spoken
 	x.sent.feed(b, x.said)
+	x.odd = x.odd || x.spoken && !x.answered && (was || len(x.sent.part) > 0)
 }
 
 func (x *Client) said(line string) {
 	c := x.c
 	word, _, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
 	if x.spoken {
+		x.odd = true
 		return
 	}
 	if word == "PING" || word == "STATS" {
@@ -322,8 +401,11 @@
 	patience := c.rules.FirstLine
 	if len(words) == 4 && words[0] == "OPEN" {
 		r.id = words[1]
+		names := map[string]bool{}
 		for _, p := range strings.Split(words[3], ",") {
 			name, value, _ := strings.Cut(p, "=")
+			x.odd = x.odd || names[name]
+			names[name] = true
 			switch name {
 			case "c":
 				for i := range c.rules.Classes {
@@ -355,10 +437,31 @@
 	})
 }
 
+// counted takes in a final answer for the figures.
+func (x *Client) counted(word string) {
+	r := &x.c.relays[x.relay]
+	if x.req == nil || x.req.class == nil || r.life != x.life {
+		return
+	}
+	switch name := x.req.class.Name; {
+	case x.odd || x.ended != 0:
+		r.seen.Loose++
+	case word == "UP":
+		r.seen.Success[name]++
+	case word == "BUSY":
+		r.seen.Overload[name]++
+	default:
+		r.seen.Error[name]++
+	}
+}
+
 // GotEnd hears that the client has ended.
 func (x *Client) GotEnd(how int32) {
 	if x.ended == 0 {
 		x.endedAt = x.c.now()
+		if r := &x.c.relays[x.relay]; !x.answered && r.life == x.life {
+			r.seen.Loose++
+		}
 	}
 	x.ended = 'F'
 	if how == 2 {
@@ -385,9 +488,13 @@
 		case x.pings > 0 && (word == "PONG" || word == "ERR"): // ERR: no relay to be used yet, or too many
 			x.pings--
 			x.told = x.told || word == "ERR"
+			if word == "PONG" && c.relays[x.relay].drain != 0 && c.relays[x.relay].life == x.life {
+				c.fail("drained", "relay %d said yes to a probe though it is drained", x.relay)
+			}
 			return
 		}
 		x.answered = true
+		x.counted(word)
 		c.Counts["answer "+word]++
 		if x.req != nil && c.now() > x.req.by {
 			c.fail("late-answer", "client %d got %q %v late", x.id, line, c.now()-x.req.by)
@@ -520,6 +627,7 @@
 	}
 	b.req = r
 	c.Counts["attempt"]++
+	c.relays[b.relay].seen.Attempts++
 	c.Counts["attempt "+r.class.Name]++
 	most := c.rules.Attempts
 	if n := r.class.Attempts; n > 0 {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,11 +46,11 @@
 }
 
 // override has the environment go before a file.
-func override(env func(string) string, again bool, name, listen, address *string) {
+func override(env func(string) string, again bool, name, listen, address, management *string) {
 	for _, o := range []struct {
 		variable string
 		value    *string
-	}{{"PROXY_NAME", name}, {"PROXY_LISTEN", listen}, {"PROXY_DISCOVERY", address}} {
+	}{{"PROXY_NAME", name}, {"PROXY_LISTEN", listen}, {"PROXY_DISCOVERY", address}, {"PROXY_MANAGEMENT", management}} {
 		if v := env(o.variable); v != "" && !(again && o.value == address && *address != "") {
 			*o.value = v
 		}
@@ -69,6 +69,7 @@
 		Name       string          `json:"name"`
 		Listen     string          `json:"listen"`
 		Discovery  string          `json:"discovery"`
+		Management string          `json:"management"`
 		Seed       string          `json:"seed"`
 		Limits     limits          `json:"limits"`
 		PeerListen string          `json:"peer_listen"`
@@ -80,13 +81,16 @@
 	if err := json.Unmarshal(text, &in); err != nil {
 		return Config{}, fmt.Errorf("%s: %w", path, err)
 	}
-	override(env, again, &in.Name, &in.Listen, &in.Discovery)
+	override(env, again, &in.Name, &in.Listen, &in.Discovery, &in.Management)
 	if in.Listen == "" || in.Discovery == "" {
 		return Config{}, errors.New("the listen address or that of discovery is missing")
 	}
 	if _, _, err := net.SplitHostPort(in.Discovery); err != nil {
 		return Config{}, fmt.Errorf("discovery: %w", err)
 	}
+	if _, _, err := net.SplitHostPort(in.Management); in.Management != "" && err != nil {
+		return Config{}, fmt.Errorf("management: %w", err)
+	}
 	if in.Limits.Cores < 0 || in.Limits.MemoryMB < 0 || in.Limits.Sockets < 0 {
 		return Config{}, fmt.Errorf("limits %+v", in.Limits)
 	}
@@ -103,7 +107,7 @@
 	}
 	return Config{Cores: in.Limits.Cores, Relay: machine.Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery,
 		Seed: seed, MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, PeerListen: in.PeerListen, Peers: in.Peers,
-		PeersAll: in.PeersAll, Known: in.Known, Settings: s}}, nil
+		PeersAll: in.PeersAll, Known: in.Known, Settings: s, Management: in.Management}}, nil
 }
 
 // Parse reads a TOML text.
@@ -112,7 +116,7 @@
 	if f == nil {
 		return Config{}, r.faults
 	}
-	override(env, again, &f.Relay.Name, &f.Relay.Listen, &f.Discovery.Address)
+	override(env, again, &f.Relay.Name, &f.Relay.Listen, &f.Discovery.Address, &f.Relay.Management)
 	for key, v := range map[string]string{"relay.listen": f.Relay.Listen, "discovery.address": f.Discovery.Address} {
 		if v != "" && !r.given[key] { // the environment gave it
 			r.faults = slices.DeleteFunc(r.faults, func(f Fault) bool { return f.Key == key && f.Reason == "is missing" })
@@ -149,6 +153,7 @@
 	if r.given["discovery.address"] {
 		address("discovery.address", f.Discovery.Address, false)
 	}
+	address("relay.management", f.Relay.Management, true)
 	address("peers.listen", f.Peers.Listen, true)
 	address("peers.all", f.Peers.All, true)
 	for _, p := range f.Peers.Addresses {
@@ -176,7 +181,7 @@
 	rules := route.Rules{Attempts: f.Rules.MaxAttempts, Cancel: f.Rules.Cancel, AnswerSlack: f.Rules.AnswerSlack}
 	c := Config{Cores: f.Limits.Cores, Level: f.Log.Level, Relay: machine.Config{Name: f.Relay.Name, Listen: f.Relay.Listen,
 		Discovery: f.Discovery.Address, Seed: seed, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
-		PeerListen: f.Peers.Listen, Peers: f.Peers.Addresses, PeersAll: f.Peers.All, Settings: s}}
+		PeerListen: f.Peers.Listen, Peers: f.Peers.Addresses, PeersAll: f.Peers.All, Settings: s, Management: f.Relay.Management}}
 	c.Relay.Routes = f.routes(r, &s, rules)
 	return c
 }
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -24,6 +24,7 @@
 type relaySection struct {
 	Name       string        `toml:"name" default:"n0" doc:"Its name, the same after a restart."`
 	Listen     string        `toml:"listen" required:"" example:"127.0.0.1:5000" doc:"Where clients connect."`
+	Management string        `toml:"management" example:"127.0.0.1:9000" doc:"The second address, where staff ask READY and STATS and say DRAIN and UNDRAIN; empty: there is none."`
 	Number     int           `toml:"number" default:"0" doc:"Its number among the relays, from 0."`
 	Relays     int           `toml:"relays" default:"1" doc:"How many relays there are."`
 	Zone       string        `toml:"zone" doc:"Its zone, one of rules.zones; the first if not given."`
--- a/internal/machine/attempt.go
+++ b/internal/machine/attempt.go
@@ -117,6 +117,7 @@
 	number int
 	open   *Open
 	set    *settings.Settings
+	book   *Ledger
 	lines  backendLines
 	digits [20]byte
 }
@@ -142,6 +143,9 @@
 	return [3][]byte{o.line[:o.left], strconv.AppendInt(a.digits[:0], left.Milliseconds(), 10), o.line[o.right:]}, nil
 }
 
+// Sent hears that the first line is out, whole.
+func (a *Attempt) Sent() { a.book.dispatches.Add(1) }
+
 // Broke is the end of a connection that came up: n bytes of the first line had
 // been written, with whole set all of them.
 func (a *Attempt) Broke(n int, whole bool, err error, timeout bool) *AttemptError {
--- a/internal/machine/flow.go
+++ b/internal/machine/flow.go
@@ -63,6 +63,7 @@
 	Open Open
 	Came time.Duration // when its OPEN was whole
 	set  *settings.Settings
+	book *Ledger
 
 	probed  int
 	over    bool // the final answer is out, or the client is gone
@@ -76,10 +77,31 @@
 	stuck  atomic.Bool  // the backend took no more of the client's lines
 	asked  atomic.Int64 // when the oldest line without an answer went to the backend; 0: none
 	ended  atomic.Int32 // how the client ended
+	taken  atomic.Bool  // counted among those that have not ended
 }
 
 // NewFlow is a connection that has just been accepted.
-func NewFlow(seq uint64, set *settings.Settings) *Flow { return &Flow{Seq: seq, set: set} }
+func NewFlow(seq uint64, set *settings.Settings, book *Ledger) *Flow {
+	return &Flow{Seq: seq, set: set, book: book}
+}
+
+// Taken counts a connection whose OPEN is whole and that has its place.
+func (f *Flow) Taken() {
+	f.taken.Store(true)
+	f.book.concurrent.Add(1)
+}
+
+// TurnedAway counts one that has none: the relay is near a limit.
+func (f *Flow) TurnedAway() { f.tally().overload.Add(1) }
+
+// Gone counts the end of one that was taken. It may be called again.
+func (f *Flow) Gone() {
+	if f.taken.CompareAndSwap(true, false) {
+		f.book.concurrent.Add(-1)
+	}
+}
+
+func (f *Flow) tally() *tally { return f.book.of(f.Open.Request.Class) }
 
 // EventKind says what a Node hears of a flow.
 type EventKind uint8
@@ -179,12 +201,18 @@
 	case o.Answer != "" && !f.over:
 		f.over = true
 		do.Cancel, do.Answer = true, o.Answer
+		if o.Answer == AnswerFailed {
+			f.tally().wrong.Add(1)
+		} else {
+			f.tally().overload.Add(1)
+		}
+		f.Gone()
 	case o.Cancel:
 		do.Cancel = true
 	case o.To != nil && !f.over && !f.pending:
 		f.pending = true
 		do.Try = &Attempt{To: o.To, Until: o.Until, Dial: f.set.DialTimeout, Begun: now, resume: o.Resume,
-			number: f.tries, open: &f.Open, set: f.set}
+			number: f.tries, open: &f.Open, set: f.set, book: f.book}
 		if o.Dial > 0 {
 			do.Try.Dial = o.Dial
 		}
@@ -203,8 +231,10 @@
 	}
 	f.over = true
 	do.Cancel = true
+	f.Gone()
 	if spoke {
 		do.Bad, do.Answer = errEager, AnswerFailed
+		f.tally().wrong.Add(1)
 	}
 	do.Event.Kind = ClientLeft
 	return do
@@ -216,6 +246,7 @@
 	switch {
 	case fail == nil && !f.over:
 		f.over, f.at = true, a
+		f.tally().success.Add(1)
 		f.down = backendLines{began: true}
 		f.stands.Store(true) // before UP is out: the client's next line may be here as soon as it is
 		do.Stand = true
@@ -228,6 +259,8 @@
 	case fail.answer == bye && !f.over: // served to its end before it stood
 		f.over = true
 		do.Answer = "BYE\r\n"
+		f.tally().wrong.Add(1) // no connection came of it
+		f.Gone()
 	}
 	o := balance.Outcome{ID: f.Seq, Attempt: a.number, Backend: a.To.ID, Status: fail.status(), Latency: now - a.Begun,
 		Closed: f.over, Load: fail.report}
@@ -372,6 +405,7 @@
 
 // Closed is the event of the end that a verdict brings.
 func (f *Flow) Closed(v Verdict) Event {
+	f.Gone()
 	return Event{Kind: AttemptEnded, Outcome: balance.Outcome{ID: f.Seq, Attempt: f.at.number, Backend: f.at.To.ID,
 		Status: v.Status, Closed: true}}
 }
--- a/internal/machine/node.go
+++ b/internal/machine/node.go
@@ -36,6 +36,7 @@
 	Known      []byte // the list as this relay last had it, in discovery's form; may be empty
 	Settings   settings.Settings
 	Routes     *route.Table // nil: no request has a timing of its own
+	Management string       // the second address, for staff; empty: there is none
 
 	// Decide makes what decides; nil: the module, package balance. Another is for the
 	// laboratory alone, which sets the module against simpler policies.
@@ -57,6 +58,7 @@
 	Peer(now time.Duration, from int, data []byte)
 	List(now time.Duration, kind balance.ListKind, lines []balance.Backend)
 	Connections() (all, byServer int)
+	Avoided(now time.Duration) (listed, avoided int)
 }
 
 var _ Decider = (*balance.Balancer)(nil)
@@ -71,20 +73,28 @@
 	lastMoves    = 1500 * time.Millisecond // and the rest is asked to move within this after that
 	handOver     = 30 * time.Second        // where packets pass through, connections are held until the relay is stopped or so long
 	lookAgain    = 20 * time.Millisecond   // how often a leaving relay looks whether anything is owed
+	mostCalls    = 32                      // connections at the second address
+	figuresEvery = 200 * time.Millisecond  // what the module alone knows is published this often
+	drainNotice  = 300 * time.Millisecond  // a client moved before the front has heard of a drain would come right back
+	drainMoves   = 2500 * time.Millisecond // a drained relay's clients are asked to move within this after that
 )
 
 // MaxDatagram is the longest datagram between relays, in bytes.
 const MaxDatagram = 256
 
 // Shares is how the descriptors are dealt out.
-type Shares struct{ Flows, Guests, Probes int }
+type Shares struct{ Flows, Guests, Probes, Calls int }
 
 // Deal deals out the descriptors: each flow has two, a guest of the lobby and a
 // probe one. Clients may hold a third of them for requests, so two thirds are the
-// flows' whatever else goes on.
-func Deal(sockets, memoryMB int) Shares {
+// flows' whatever else goes on. A relay with a second address keeps a few back for it, so
+// that it answers there when all others are used up.
+func Deal(sockets, memoryMB int, managed bool) Shares {
 	s := Shares{Guests: max(1, min(mostGuests, sockets/9)), Probes: max(1, min(mostProbes, sockets/10))}
-	s.Flows = max(1, (sockets-min(ownSockets, sockets/4)-s.Guests-s.Probes)/2)
+	if managed {
+		s.Calls = max(4, min(mostCalls, sockets/20))
+	}
+	s.Flows = max(1, (sockets-min(ownSockets, sockets/4)-s.Guests-s.Probes-s.Calls)/2)
 	if memoryMB > 0 {
 		s.Flows = min(s.Flows, max(1, memoryMB<<20/2/flowBytes))
 	}
@@ -120,6 +130,7 @@
 // Node is one relay's books. Its methods are called one at a time.
 type Node struct {
 	set      *settings.Settings
+	book     *Ledger
 	cfg      Config // as it is in force
 	log      *zap.Logger
 	host     Host
@@ -138,16 +149,21 @@
 	begun    bool // a connection has come that is none from before the start
 	told     bool // discovery itself has given a list
 	leaveBy  time.Duration
+	drains   uint64 // counts the calls that changed whether clients are sent away
+	draining bool   // they are, as far as the books know
 	ready    atomic.Bool
+	drained  atomic.Bool // they are to be
+	leaving  atomic.Bool
 }
 
 // NewNode checks a configuration and starts the books.
 func NewNode(now time.Duration, cfg Config, host Host, log *zap.Logger) (*Node, error) {
 	cfg.Settings = oneNote(cfg.Settings)
-	n := &Node{cfg: cfg, log: log, host: host, born: now, now: now, flows: map[uint64]*call{}, ids: map[uint64]*call{},
+	n := &Node{cfg: cfg, book: &Ledger{}, log: log, host: host, born: now, now: now, flows: map[uint64]*call{}, ids: map[uint64]*call{},
 		backends: map[balance.BackendID]*Backend{}}
 	s := cfg.Settings // a copy: a reload replaces cfg whole
 	n.set = &s
+	n.book.name(s.ClassNames)
 	known, err := cfg.known(n.set)
 	if err != nil {
 		return nil, err
@@ -161,9 +177,15 @@
 	if len(known.entries) > 0 {
 		n.Listed(now, known, balance.ListCached)
 	}
+	if cfg.Management != "" {
+		n.after(figureTimer, 0, 0)
+	}
 	return n, nil
 }
 
+// Ledger holds the figures. It may be read from any goroutine.
+func (n *Node) Ledger() *Ledger { return n.book }
+
 // oneNote settles what a LOAD line means, since it does not say which kind of note it carries: a
 // connection's load where backends tell that, else, where the settings promise it, how long a message takes.
 func oneNote(s settings.Settings) settings.Settings {
@@ -189,9 +211,19 @@
 // Config is the configuration in force.
 func (n *Node) Config() Config { return n.cfg }
 
-// Ready says whether any list is known: a relay without one is not to be used.
-// It may be called from any goroutine.
-func (n *Node) Ready() bool { return n.ready.Load() }
+// Ready says whether clients may be sent here: a relay without any list is not to be
+// used, nor one that is drained. It may be called from any goroutine.
+func (n *Node) Ready() bool { return n.ready.Load() && !n.drained.Load() }
+
+// Leaving says whether the relay is on its way out. It may be called from any goroutine.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+// SetDrained says whether clients are to be sent away, which PING tells at once. It may
+// be called from any goroutine; Drain brings the books to it.
+func (n *Node) SetDrained(on bool) { n.drained.Store(on) }
+
+// Drained says whether clients are to be sent away, as SetDrained had it last.
+func (n *Node) Drained() bool { return n.drained.Load() }
 
 // Balancer is what decides, for checks.
 func (n *Node) Balancer() Decider { return n.balancer }
@@ -242,6 +274,8 @@
 	lateTimer         // leaving: the front has surely noticed
 	lookTimer         // leaving: is anything owed?
 	endTimer          // leaving: the last answers are written
+	drainTimer        // drained: the front has surely noticed
+	figureTimer       // what the module avoids is to be published
 )
 
 type timer struct {
@@ -303,6 +337,13 @@
 	case endTimer:
 		n.log.Info("left")
 		n.host.Left()
+	case drainTimer:
+		if n.draining && t.token == n.drains && !n.leaving.Load() {
+			n.balancer.Leave(n.now, n.now+drainMoves)
+		}
+	case figureTimer:
+		n.book.listed(n.balancer.Avoided(n.now))
+		n.after(figureTimer, 0, figuresEvery)
 	}
 }
 
@@ -322,6 +363,7 @@
 	if n.set.PassThrough {
 		within = handOver
 	}
+	n.leaving.Store(true)
 	n.run(now, func() {
 		n.leaveBy = now + within
 		n.after(lateTimer, 0, lateArrivals) // a client moved earlier might be sent right back here
@@ -329,6 +371,26 @@
 	n.log.Info("leaving", zap.Duration("within", within))
 }
 
+// Drain has the books follow SetDrained: clients are asked to move once the front has
+// heard, or no longer. Who still comes is served. A relay that is leaving goes on with that.
+func (n *Node) Drain(now time.Duration) {
+	on := n.drained.Load()
+	if on == n.draining {
+		return
+	}
+	n.draining = on
+	n.drains++
+	n.log.Info("drain", zap.Bool("on", on), zap.Int("connections", len(n.flows)))
+	n.run(now, func() {
+		switch {
+		case on:
+			n.after(drainTimer, n.drains, drainNotice)
+		case !n.leaving.Load():
+			n.balancer.Leave(n.now, 0)
+		}
+	})
+}
+
 // Reload takes over what may change while the relay runs: the agent of discovery,
 // the peers' addresses, the limits, the routes and, until discovery has spoken, the known
 // backends; sockets is how many descriptors there are by the new limits. What it
@@ -340,7 +402,7 @@
 	}
 	was := n.cfg
 	changed, later := []string{}, []string{}
-	shares := Deal(sockets, cfg.MemoryMB)
+	shares := Deal(sockets, cfg.MemoryMB, was.Management != "")
 	n.run(now, func() {
 		if cfg.Discovery != was.Discovery {
 			changed = append(changed, "discovery")
@@ -367,12 +429,14 @@
 		name string
 		same bool
 	}{{"listen", cfg.Listen == was.Listen}, {"name", cfg.Name == was.Name},
+		{"management", cfg.Management == was.Management},
 		{"peer_listen", cfg.PeerListen == was.PeerListen}, {"settings", reflect.DeepEqual(cfg.Settings, was.Settings)}} {
 		if !part.same {
 			later = append(later, part.name)
 		}
 	}
 	cfg.Name, cfg.Listen, cfg.PeerListen, cfg.Settings = was.Name, was.Listen, was.PeerListen, was.Settings
+	cfg.Management = was.Management
 	n.cfg = cfg
 	n.log.Info("configuration read again", zap.Strings("taken", changed), zap.String("discovery", cfg.Discovery),
 		zap.Int("flows", shares.Flows))
--- /dev/null
+++ b/internal/management/management.go
@@ -0,0 +1,87 @@
+// Package management is a relay's second address, where staff ask how it does and
+// have it drained: one line to a connection, one answer, the end.
+//
+// This file owns the calls and their answers. It must never do what a call says
+// by itself, wait for the relay, or answer what is not a whole call with SUCCESS.
+package management
+
+import (
+	"fmt"
+	"strings"
+
+	"aspenbarrow/internal/machine"
+)
+
+// State is how far a relay is in its life.
+type State uint8
+
+// The states. Only one that is Serving takes clients.
+const (
+	Starting State = iota // it has no list of backends yet, or does not listen
+	Serving
+	Drained
+	Leaving
+)
+
+// Relay is what the calls need of one. No method may wait.
+type Relay interface {
+	State() State
+	Figures() machine.Figures
+	Drain(on bool) // send clients away, or take them again; may be repeated
+}
+
+// MostLine is the longest call in bytes, its end included.
+const MostLine = 256
+
+// Answer answers one call, given without its line's end. Lines of the answer are ended by eol.
+func Answer(call, eol string, r Relay) string {
+	switch call {
+	case "READY":
+		switch r.State() {
+		case Serving:
+			return "SUCCESS serving" + eol
+		case Starting:
+			return "FAILURE starting: no list of backends yet" + eol
+		case Drained:
+			return "FAILURE drained: clients are sent away" + eol
+		}
+		return "FAILURE leaving: the process is about to end" + eol
+	case "DRAIN":
+		r.Drain(true)
+		if r.State() == Leaving {
+			return "SUCCESS leaving: clients are sent away already" + eol
+		}
+		return "SUCCESS draining" + eol
+	case "UNDRAIN":
+		if r.State() == Leaving {
+			return "FAILURE leaving: this process takes no clients again" + eol
+		}
+		r.Drain(false)
+		return "SUCCESS taking clients" + eol
+	case "STATS":
+		return stats(r.Figures(), eol)
+	case "":
+		return "FAILURE empty call" + eol
+	}
+	return "FAILURE unknown call, there are READY, STATS, DRAIN and UNDRAIN" + eol
+}
+
+// stats writes all figures, one a line.
+func stats(f machine.Figures, eol string) string {
+	var b strings.Builder
+	b.WriteString("SUCCESS" + eol)
+	line := func(name string, v int64) { fmt.Fprintf(&b, "%s=%d%s", name, v, eol) }
+	for _, c := range f.Classes {
+		line("replies."+c.Name+".success", c.Success)
+		line("replies."+c.Name+".overload", c.Overload)
+		line("replies."+c.Name+".error", c.Error)
+	}
+	line("dispatches", f.Dispatches)
+	line("concurrent", f.Concurrent)
+	line("targets", f.Targets)
+	line("targets_disabled", f.TargetsDisabled)
+	line("reload_success", f.ReloadSuccess)
+	line("reload_failure", f.ReloadFailure)
+	b.WriteString("EOT" + eol)
+	return b.String()
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -91,6 +91,7 @@
 	if n, err := pieces.WriteTo(l.conn); err != nil {
 		return 0, a.Broke(int(n), false, err, false)
 	}
+	a.Sent()
 	for seen := 0; ; {
 		b, err := l.more(seen)
 		if err != nil {
--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -55,6 +55,7 @@
 			}
 		}
 		close(f.over)
+		f.m.Gone()
 		if begun {
 			_ = f.client.conn.SetReadDeadline(time.Now().Add(machine.Farewell))
 			f.readers.Wait()
@@ -71,10 +72,13 @@
 	switch {
 	case opened && f.relay.admit():
 		if begun = f.relay.lobby.leave(g); !begun { // it had to give way just now
+			f.m.TurnedAway()
 			f.relay.flowing.Add(-1)
 			return
 		}
+		f.m.Taken()
 	case opened:
+		f.m.TurnedAway()
 		f.relay.log.Warn("turned away: near the limit of descriptors or memory")
 		f.end(f.relay.busyLine)
 		f.relay.lobby.readOff(g)
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -39,6 +39,8 @@
 		select {
 		case e := <-r.events:
 			e(r.now())
+		case <-r.drains:
+			r.node.Drain(r.now())
 		case <-tick.C:
 		case <-stop:
 			return
@@ -97,4 +99,7 @@
 	h.room.Store(int64(s.Flows))
 	h.lobby.resize(s.Guests)
 	h.probes.resize(s.Probes)
+	if h.second != nil {
+		h.second.Resize(s.Calls)
+	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"aspenbarrow/internal/machine"
+	"aspenbarrow/internal/management"
 	"aspenbarrow/internal/settings"
 )
 
@@ -43,6 +44,8 @@
 	discovery *discovery
 	probes    *probes
 	peers     *peers
+	second    *management.Server // nil: there is no second address
+	drains    chan struct{}      // whether clients are to be sent away may have changed
 
 	// The loop's own.
 	node  *machine.Node
@@ -54,9 +57,9 @@
 	s := cfg.Settings
 	r := &Relay{settings: &s, seed: cfg.Seed, log: log, start: time.Now(), events: make(chan func(time.Duration), 1024),
 		stopped: make(chan struct{}), left: make(chan struct{}), busyLine: machine.BusyAnswer(machine.HoldOff(&s)),
-		flows: map[uint64]*flow{}}
+		flows: map[uint64]*flow{}, drains: make(chan struct{}, 1)}
 	r.born = time.Duration(r.start.UnixNano())
-	shares := machine.Deal(descriptors(cfg.Sockets), cfg.MemoryMB)
+	shares := machine.Deal(descriptors(cfg.Sockets), cfg.MemoryMB, cfg.Management != "")
 	r.room.Store(int64(shares.Flows))
 	r.lobby = newLobby(shares.Guests, r.busyLine, r.now)
 	r.discovery = newDiscovery(cfg.Discovery, r)
@@ -74,6 +77,12 @@
 	if r.listener, err = net.ListenTCP("tcp", addr); err != nil {
 		return nil, err
 	}
+	if cfg.Management != "" {
+		if r.second, err = management.Listen(cfg.Management, shares.Calls, staff{r}, log); err != nil {
+			_ = r.listener.Close()
+			return nil, err
+		}
+	}
 	return r, nil
 }
 
@@ -99,6 +108,9 @@
 	}
 }
 
+// Reloaded counts a file that was read again, taken or not.
+func (r *Relay) Reloaded(ok bool) { r.node.Ledger().Reloaded(ok) }
+
 // Addr is where the relay listens.
 func (r *Relay) Addr() net.Addr { return r.listener.Addr() }
 
@@ -113,10 +125,18 @@
 	if err := r.peers.run(helpers); err != nil {
 		r.log.Error("peers cannot be heard", zap.Error(err))
 	}
+	if r.second != nil {
+		go r.second.Serve()
+		defer r.second.Close()
+	}
 	accepted := make(chan error, 1)
 	go func() { accepted <- r.accept() }()
+	second := ""
+	if r.second != nil {
+		second = r.second.Addr().String()
+	}
 	r.log.Info("serving", zap.Stringer("address", r.listener.Addr()), zap.Int64("flows", r.room.Load()),
-		zap.String("discovery", agent))
+		zap.String("discovery", agent), zap.String("management", second))
 	var err error
 	select {
 	case <-ctx.Done():
@@ -148,7 +168,7 @@
 		}
 		_ = conn.SetDeadline(time.Now().Add(machine.FirstLine))
 		r.seq++
-		f := &flow{relay: r, client: newLine(conn), m: machine.NewFlow(r.seq, r.settings),
+		f := &flow{relay: r, client: newLine(conn), m: machine.NewFlow(r.seq, r.settings, r.node.Ledger()),
 			orders: make(chan machine.Order, 16), left: make(chan bool, 1), stands: make(chan struct{}),
 			over: make(chan struct{})}
 		g := r.lobby.enter(conn)
@@ -169,3 +189,31 @@
 func (r *Relay) bad(conn net.Conn, err error) {
 	r.log.Warn("bad input", zap.Stringer("from", conn.RemoteAddr()), zap.Error(err))
 }
+
+// staff is what the second address asks of a relay. It reads what is published and
+// leaves word for the loop; it never waits for it.
+type staff struct{ *Relay }
+
+var _ management.Relay = staff{}
+
+func (s staff) State() management.State {
+	switch n := s.node; {
+	case n.Leaving():
+		return management.Leaving
+	case n.Drained():
+		return management.Drained
+	case n.Ready():
+		return management.Serving
+	}
+	return management.Starting
+}
+
+func (s staff) Figures() machine.Figures { return s.node.Ledger().Read() }
+
+func (s staff) Drain(on bool) {
+	s.node.SetDrained(on) // PING says so from now on
+	select {
+	case s.drains <- struct{}{}:
+	default: // the loop will look anyway
+	}
+}
--- a/internal/world/client.go
+++ b/internal/world/client.go
@@ -34,6 +34,9 @@
 			again(3 * time.Second)
 			return
 		}
+		if r.node.Drained() {
+			w.in(w.between(0, 200*time.Millisecond), func() { fr.good[r.number] = false })
+		}
 		again(200 * time.Millisecond)
 		return
 	}
@@ -68,6 +71,34 @@
 	})
 }
 
+// yes holds a relay that takes clients again to saying so within two seconds.
+func (run *run) yes(r *relay) {
+	life := r.life
+	run.w.in(drainedNoMore, func() {
+		if r.life != life || !r.up || r.leaving || r.node.Drained() || run.closing {
+			return
+		}
+		run.outside.dial(r.box, time.Second, func(e *end) {
+			if e == nil {
+				return
+			}
+			e.wake = func() {
+				if bytes.Contains(e.in, []byte("\n")) {
+					if !bytes.HasPrefix(e.in, []byte("PONG")) && r.node.Ready() {
+						run.fail("drained", "%s says %q though it is drained no more", r.name, e.in)
+					}
+					e.close()
+				}
+			}
+			e.write([]byte("PING\r\n"), func(bool) {})
+			run.w.in(3*time.Second, e.close)
+		})
+	})
+}
+
+// drainedNoMore is how long after the second call a relay has to say yes.
+const drainedNoMore = 2 * time.Second
+
 // pick is a relay for a new connection.
 func (fr *front) pick() *relay {
 	good := make([]*relay, 0, len(fr.good))
--- a/internal/world/faults.go
+++ b/internal/world/faults.go
@@ -49,6 +49,31 @@
 		run.reload(r, true, r.cfg.Sockets, r.cfg.MemoryMB)
 		return nil
 	}},
+	{"relay drained", func(run *run, f Fault) func() {
+		r := run.relays[f.Who%len(run.relays)]
+		run.drain(r, true)
+		return func() {
+			run.drain(r, false)
+			run.yes(r)
+		}
+	}},
+	{"relay drained and not", func(run *run, f Fault) func() {
+		for i := range 1 + int(f.Much*6) { // called again and again, while it is told other things
+			r := run.relays[(f.Who+i/3)%len(run.relays)]
+			run.w.in(time.Duration(i)*f.For/12, func() { run.drain(r, i%3 != 2) })
+			if i == 1 {
+				run.w.in(f.For/12, func() { run.reload(r, true, r.cfg.Sockets, r.cfg.MemoryMB) })
+			}
+			if i == 4 {
+				run.w.in(f.For/3, func() { run.restart(r) })
+			}
+		}
+		return func() {
+			for _, r := range run.relays {
+				run.drain(r, false)
+			}
+		}
+	}},
 	{"reload while leaving", func(run *run, f Fault) func() {
 		r := run.relays[f.Who%len(run.relays)]
 		run.restart(r)
--- a/internal/world/sabotage.go
+++ b/internal/world/sabotage.go
@@ -33,6 +33,11 @@
 	BreakCutOff       Break = "cut-off"       // moved without MOVE
 	BreakTiming       Break = "timing"        // the routes' timing is not looked at
 	BreakDescriptor   Break = "descriptor"    // a failed attempt's connection stays open
+	BreakCountLobby   Break = "count-lobby"   // who is turned away for want of room is not counted
+	BreakCountGone    Break = "count-gone"    // a client that left while it waited stays counted
+	BreakCountAttempt Break = "count-attempt" // one attempt in fifty is not counted
+	BreakDrain        Break = "drain-holds"   // a drained relay moves nobody
+	BreakYes          Break = "drain-yes"     // and goes on saying yes
 )
 
 // Breaks are all of them, with the rules of which at least one must catch each.
@@ -54,6 +59,11 @@
 	BreakMadeUp:       {"made-up"},
 	BreakCutOff:       {"cut-off"},
 	BreakDescriptor:   {"leak", "overlap"},
+	BreakCountLobby:   {"figures"},
+	BreakCountGone:    {"figures"},
+	BreakCountAttempt: {"figures"},
+	BreakDrain:        {"drained"},
+	BreakYes:          {"drained"},
 }
 
 func (run *run) broken(b Break) bool { return run.opt.Break == b }
