A new version takes over the old one's listening socket and memory, with nobody turned back

The new process finds the old one by a Unix socket in TMPDIR and is handed its listening sockets: one queue, nobody in it is reset. Not taken: only SO_REUSEPORT with the old queue emptied before it closes, since what arrives between the last accept and the close is reset; it is the fallback where the handing over is refused, late or of another version. With the sockets go the list, suspensions, cold budgets, limits, diversions and learnt loads, versioned, at most 1 MiB, each value checked, given up after a second. The old process takes nobody from the moment the new one is ready, says what descriptors it still holds (the new one deals out the rest), and takes over again if the new one goes away first.

While both run the old one tells what it holds and sees ten times a second, which counts in T of the new one. Packets of a connection follow it to its server even if that is full or suspended: usable() sent them to one that resets them.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -151,10 +151,11 @@
 	return score, score > mark
 }
 
-// usable says whether the connection may go to the server at all.
+// usable says whether the connection may go to the server at all. One that it holds already is borne already.
 func (b *Balancer) usable(now time.Duration, s *server, c *call) bool {
-	return s.State == StateReady && s.until <= now && b.allowed(now, s, c) && b.takesCold(now, s, c) &&
-		!slices.Contains(c.shunned[:], s) && b.room(s, c) && !slices.Contains(c.tried[:], s)
+	return s.State == StateReady && b.allowed(now, s, c) && !slices.Contains(c.tried[:], s) &&
+		(c.MidFlow && c.tries == 0 || s.until <= now && b.takesCold(now, s, c) && b.room(s, c) &&
+			!slices.Contains(c.shunned[:], s))
 }
 
 // delta is Δ: connections' worth, relative to a server of mean size.
@@ -515,7 +516,7 @@
 
 // room says whether a server that has shown overload can bear the connection.
 func (b *Balancer) room(s *server, c *call) bool {
-	return s.limit == 0 || s.n == 0 || b.own(&s.sums)+b.loadOf(c) <= s.limit
+	return s.limit == 0 || s.n == 0 && s.also == 0 || b.own(&s.sums)+b.loadOf(c) <= s.limit
 }
 
 // overload lowers what a server is held to bear to a part of its T. One that drops
--- a/balance/books.go
+++ b/balance/books.go
@@ -75,6 +75,7 @@
 
 // sums is what T is weighed from.
 type sums struct {
+	also   float64 // of another process of this relay, while there are two
 	told   float64 // loads that notes or hints told
 	untold []int   // connections by class whose load nobody told
 	n      int     // all connections
@@ -86,7 +87,7 @@
 	} else {
 		t.untold[c.Class] += n
 	}
-	if t.n == 0 {
+	if t.n == 0 { // what rounding leaves
 		t.told = 0
 	}
 }
@@ -288,10 +289,7 @@
 func (b *Balancer) attach(c *call, s *server) {
 	c.at, c.slot = s, len(s.open)
 	s.open = append(s.open, c)
-	if !s.busy {
-		s.busy = true
-		b.busy = append(b.busy, s)
-	}
+	b.watch(s)
 	s.groups[c.key]++
 	b.taken[c.Tenant]++
 	s.add(c, 1)
@@ -356,7 +354,7 @@
 
 // own is T: the load of this relay's connections on a server.
 func (b *Balancer) own(t *sums) float64 {
-	load := t.told
+	load := t.told + t.also
 	for class, n := range t.untold {
 		if n > 0 {
 			load += float64(n) * b.classLoad(class)
--- /dev/null
+++ b/balance/memory_test.go
@@ -0,0 +1,108 @@
+package balance
+
+import (
+	"encoding/json"
+	"math"
+	"testing"
+	"time"
+)
+
+// heir is a relay that has taken over what another remembers, by way of its text.
+func heir(t *testing.T, s Settings, n int, now time.Duration, m Memory) (*Balancer, *recorder) {
+	t.Helper()
+	text, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var read Memory
+	if err := json.Unmarshal(text, &read); err != nil {
+		t.Fatal(err)
+	}
+	r := &recorder{}
+	b := New(now, 2, s, r)
+	b.List(now, ListCached, fleet(n))
+	b.Recall(now, read)
+	b.Beside(now, read)
+	r.clear()
+	return b, r
+}
+
+// A new version starts with what the old one knows: who is suspended, where flows were sent that did not go home,
+// and how much a cold server has had of this relay.
+func TestANextProcessRemembers(t *testing.T) {
+	s := settings()
+	s.PassThrough = true
+	b, r := start(t, s, 6)
+	to := sent(t, b, r, sec, Request{ID: 1, Key: 11})
+	b.Outcome(sec, Outcome{ID: 1, Backend: to, Status: Error})
+	cold := b.servers[2]
+	cold.ReadyAt, cold.filled, cold.budget = sec, sec, 0.25
+	b.remember(sec, &call{flow: 77}, b.servers[5])
+	sent(t, b, r, sec, Request{ID: 2, Key: 12, Class: 1})
+	b.Note(sec, 2, NoteLoad, 40)
+	n, _ := heir(t, s, 6, sec+10*ms, b.Memory())
+	if got := n.servers[to]; got.until != b.servers[to].until || got.until <= sec || len(n.out) != 1 {
+		t.Errorf("server %d is suspended until %v, was until %v; %d are out", to, got.until, b.servers[to].until, len(n.out))
+	}
+	if got := n.servers[2]; got.budget != 0.25 || got.filled != sec {
+		t.Errorf("the cold server's budget is %v, filled %v", got.budget, got.filled)
+	}
+	if d := n.divert[77]; d.to == nil || d.to.ID != 5 || len(n.order) != 1 {
+		t.Errorf("the diverted flow goes to %+v", d)
+	}
+	if n.usual[1] != b.usual[1] || n.seen[1] != b.seen[1] {
+		t.Errorf("a connection of class 1 loads %v, was %v", n.usual[1], b.usual[1])
+	}
+}
+
+// While both run, T at the old one counts: it moves clients off a full server, who come by the new one and were sent
+// right back, since that had seen nothing of it. An empty report ends it.
+func TestWhatTheOldProcessHoldsCountsWithTheNew(t *testing.T) {
+	b, r := start(t, settings(), 2)
+	opened(t, b, r, 40)
+	n, nr := heir(t, settings(), 2, 2*sec, b.Memory())
+	full := b.servers[1]
+	b.overload(2*sec, full, 0.5)
+	n.Beside(2*sec+100*ms, b.Memory())
+	for id := uint64(1); id <= 30; id++ {
+		if to := sent(t, n, nr, 2*sec+200*ms, Request{ID: id, Key: id}); to == 1 {
+			t.Fatalf("request %d goes to the server that the old process moves its clients off", id)
+		}
+	}
+	n.Beside(3*sec, Memory{})
+	if n.servers[1].also != 0 || n.servers[2].also != 0 {
+		t.Error("the old process's connections still count though it has ended")
+	}
+}
+
+func TestAMemoryThatCannotBeTrueIsNotBelieved(t *testing.T) {
+	now := 100 * sec
+	n, _ := heir(t, settings(), 2, now, Memory{Servers: []ServerMemory{
+		{ID: 1, Until: 1 << 60, Bench: 1 << 60, Hot: 1 << 60, Heard: 1 << 60, Filled: -5, Limit: -1, Budget: 1e300, Paces: 1 << 30, Held: -7},
+		{ID: 99, Until: 1 << 60}}, Diverted: []Diverted{{1, 99, now}, {2, 1, 1 << 60}}, Usual: []float64{1}, Seen: []float64{1},
+		Kinds: map[int][2]float64{0: {1, -1}, 1: {-1, 1}}, Crowd: 1e9, Tells: -4, Lost: 1 << 60})
+	s := n.servers[1]
+	if s.until > now+16*beat || s.bench > 16*beat || s.hot > now || s.heard > now || s.filled < 0 || s.limit != 0 || s.budget > maxBudget ||
+		s.paces > surePace+1 || s.also != 0 || math.IsInf(s.budget, 0) {
+		t.Errorf("%+v", s)
+	}
+	if len(n.divert) != 1 || n.divert[2].at > now || len(n.kinds) != 0 || n.crowd > 2 || n.tells < 0 || n.lost > now {
+		t.Errorf("diverted %v, kinds %v, crowd %v, %d tells, lost %v", n.divert, n.kinds, n.crowd, n.tells, n.lost)
+	}
+}
+
+// Packets of a connection that a full or suspended server holds go there: anywhere else they would be reset.
+func TestPacketsFollowTheirConnectionToAFullServer(t *testing.T) {
+	s := settings()
+	s.PassThrough = true
+	b, r := start(t, s, 6)
+	home := sent(t, b, r, sec, Request{ID: 1, Key: 5})
+	b.servers[home].limit, b.servers[home].hot = 0.5, sec
+	b.servers[home].until = 10 * sec
+	if to := sent(t, b, r, sec, Request{ID: 2, Key: 5, MidFlow: true}); to != home {
+		t.Errorf("they go to %d, not to %d that holds it", to, home)
+	}
+	if to := sent(t, b, r, sec, Request{ID: 3, Key: 5}); to == home {
+		t.Error("a new connection goes to a suspended server")
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -107,7 +107,7 @@
 	}
 	return Config{Cores: in.Limits.Cores, Relay: machine.Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery,
 		Seed: seed, MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, PeerListen: in.PeerListen, Peers: in.Peers,
-		PeersAll: in.PeersAll, Known: in.Known, Settings: s, Management: in.Management}}, nil
+		PeersAll: in.PeersAll, Known: in.Known, Settings: s, Management: in.Management, Scratch: env("TMPDIR")}}, nil
 }
 
 // Parse reads a TOML text.
@@ -123,6 +123,7 @@
 		}
 	}
 	c := f.config(r)
+	c.Relay.Scratch = env("TMPDIR")
 	if len(r.faults) > 0 {
 		return Config{}, r.faults.sorted()
 	}
--- a/internal/machine/attempt.go
+++ b/internal/machine/attempt.go
@@ -81,7 +81,8 @@
 	ID     balance.BackendID
 	Name   string
 	addr   atomic.Pointer[string]
-	closed atomic.Int64 // when it was heard to drain or be gone, on the module's clock; 0: open
+	closed atomic.Int64    // when it was heard to drain or be gone, on the module's clock; 0: open
+	line   balance.Backend // as the list had it last; the Node's own
 }
 
 // Addr is where the backend listens, as the list last said.
--- /dev/null
+++ b/internal/machine/handover.go
@@ -0,0 +1,137 @@
+// This file owns what one process of a relay hands to the next while both run: its
+// form, its bounds and the checks of it. It must never be believed where it cannot be
+// true, nor be needed: without it the next process starts as a fresh one.
+
+package machine
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"aspenbarrow/balance"
+)
+
+const (
+	bequestVersion = 1
+	// MostBequest is the most that is handed over, in bytes.
+	MostBequest  = 1 << 20
+	staleBequest = 10 * time.Second
+)
+
+// bequest is the form of what is handed over.
+type bequest struct {
+	Version int            `json:"version"`
+	Name    string         `json:"name"`
+	At      time.Duration  `json:"at"`
+	Classes []string       `json:"classes"`
+	Drained bool           `json:"drained"`
+	Members []heirloom     `json:"members"`
+	Memory  balance.Memory `json:"memory"`
+}
+
+// heirloom is one backend as the list had it last.
+type heirloom struct {
+	Name string          `json:"name"`
+	Addr string          `json:"addr"`
+	Line balance.Backend `json:"line"`
+}
+
+var errBequest = errors.New("what the old process handed over cannot be used")
+
+// remembers is a Decider whose memory outlives its process.
+type remembers interface {
+	Memory() balance.Memory
+	Recall(now time.Duration, m balance.Memory)
+	Beside(now time.Duration, m balance.Memory)
+}
+
+var _ remembers = (*balance.Balancer)(nil)
+
+// Seen is what this process goes on seeing, for the next one while both run.
+func (n *Node) Seen() ([]byte, error) {
+	m, ok := n.balancer.(remembers)
+	if !ok {
+		return nil, errBequest
+	}
+	seen := m.Memory()
+	seen.Diverted, seen.Usual, seen.Seen, seen.Kinds = nil, nil, nil, nil
+	return json.Marshal(seen)
+}
+
+// Beside takes that in; none: the other process has ended.
+func (n *Node) Beside(now time.Duration, text []byte) error {
+	var m balance.Memory
+	if len(text) > 0 {
+		if err := json.Unmarshal(text, &m); err != nil {
+			return fmt.Errorf("%w: %w", errBequest, err)
+		}
+	}
+	if b, ok := n.balancer.(remembers); ok {
+		n.run(now, func() { b.Beside(n.now, m) })
+	}
+	return nil
+}
+
+// Bequeath is what the next process is to know.
+func (n *Node) Bequeath(now time.Duration) ([]byte, error) {
+	b := bequest{Version: bequestVersion, Name: n.cfg.Name, At: now, Classes: n.set.ClassNames, Drained: n.drained.Load()}
+	if m, ok := n.balancer.(remembers); ok {
+		b.Memory = m.Memory()
+	}
+	for _, k := range n.named {
+		if k.line.State != balance.StateGone {
+			b.Members = append(b.Members, heirloom{k.Name, k.Addr(), k.line})
+		}
+	}
+	text, err := json.Marshal(b)
+	if err == nil && len(text) > MostBequest {
+		err = fmt.Errorf("%d bytes, over %d", len(text), MostBequest)
+	}
+	return text, err
+}
+
+// Inherit takes over what the former process handed on; with an error nothing of it.
+func (n *Node) Inherit(now time.Duration, text []byte) error {
+	var b bequest
+	if err := json.Unmarshal(text, &b); err != nil {
+		return fmt.Errorf("%w: %w", errBequest, err)
+	}
+	switch {
+	case b.Version != bequestVersion:
+		return fmt.Errorf("%w: version %d, this process knows %d", errBequest, b.Version, bequestVersion)
+	case b.Name != n.cfg.Name:
+		return fmt.Errorf("%w: it is relay %q's", errBequest, b.Name)
+	case now-b.At > staleBequest || b.At-now > staleBequest:
+		return fmt.Errorf("%w: it is %v old", errBequest, now-b.At)
+	}
+	l := Members{full: true}
+	for _, m := range b.Members {
+		if m.Name == "" || m.Addr == "" || m.Line.ID != backendID(m.Name) {
+			return fmt.Errorf("%w: backend %q at %q", errBequest, m.Name, m.Addr)
+		}
+		l.entries = append(l.entries, member{m.Name, m.Addr, m.Line})
+	}
+	if !slices.Equal(b.Classes, n.set.ClassNames) { // loads go by the classes' numbers
+		b.Memory.Usual, b.Memory.Seen = nil, nil
+	}
+	n.run(now, func() {
+		if len(l.entries) > 0 && !n.told { // what discovery has said to this process is newer
+			n.listed(l, balance.ListCached)
+		}
+		if r, ok := n.balancer.(remembers); ok {
+			r.Recall(n.now, b.Memory)
+			r.Beside(n.now, b.Memory)
+		}
+	})
+	if b.Drained {
+		n.SetDrained(true)
+		n.Drain(now)
+	}
+	n.log.Info("taken over from the old process", zap.Int("backends", len(l.entries)), zap.Bool("drained", b.Drained))
+	return nil
+}
--- a/internal/machine/machine_test.go
+++ b/internal/machine/machine_test.go
@@ -71,7 +71,7 @@
 func TestDealStaysWithinDescriptors(t *testing.T) {
 	for i, sockets := range []int{8, 64, 256, 1024, 4096, 64, 256, 1024} {
 		s := Deal(sockets, 0, i > 4)
-		if used := 2*s.Flows + s.Guests + s.Probes + s.Calls + min(ownSockets, sockets/4); used > sockets || s.Flows < 1 ||
+		if used := 2*s.Flows + s.Guests + s.Probes + s.Calls + min(OwnSockets, sockets/4); used > sockets || s.Flows < 1 ||
 			s.Guests < 1 || s.Probes < 1 || i > 4 != (s.Calls > 0) {
 			t.Errorf("%d descriptors: %+v", sockets, s)
 		}
@@ -136,6 +136,7 @@
 }
 
 func (h *host) Order(flow uint64, o Order)      { h.orders[flow] = append(h.orders[flow], o) }
+func (h *host) Ready()                          {}
 func (h *host) Move(flow uint64)                { h.moved = append(h.moved, flow) }
 func (h *host) Bad(_ uint64, err error)         { h.bad = append(h.bad, err) }
 func (h *host) Probe(b *Backend)                { h.probed = append(h.probed, b.ID) }
--- a/internal/machine/node.go
+++ b/internal/machine/node.go
@@ -37,6 +37,7 @@
 	Settings   settings.Settings
 	Routes     *route.Table // nil: no request has a timing of its own
 	Management string       // the second address, for staff; empty: there is none
+	Scratch    string       // a folder that the next version's process sees as well; empty: it starts as a fresh one
 
 	// Decide makes what decides; nil: the module, package balance. Another is for the
 	// laboratory alone, which sets the module against simpler policies.
@@ -65,7 +66,7 @@
 
 const (
 	flowBytes    = 48 << 10                // what a standing flow may cost in memory, generously
-	ownSockets   = 16                      // descriptors for discovery, peers, the listener and the runtime
+	OwnSockets   = 16                      // descriptors for discovery, peers, the listener and the runtime
 	mostGuests   = 256                     // connections without a whole OPEN, however many descriptors there are
 	mostProbes   = 48                      // connections of probes, kept ones included
 	lateArrivals = 600 * time.Millisecond  // the front goes on sending so long after SIGTERM
@@ -94,7 +95,7 @@
 	if managed {
 		s.Calls = max(4, min(mostCalls, sockets/20))
 	}
-	s.Flows = max(1, (sockets-min(ownSockets, sockets/4)-s.Guests-s.Probes-s.Calls)/2)
+	s.Flows = max(1, (sockets-min(OwnSockets, sockets/4)-s.Guests-s.Probes-s.Calls)/2)
 	if memoryMB > 0 {
 		s.Flows = min(s.Flows, max(1, memoryMB<<20/2/flowBytes))
 	}
@@ -112,7 +113,8 @@
 	Ask(watch bool)        // discovery: a watch, or the whole list once
 	Follow(address string) // another agent of discovery from now on
 	Limits(s Shares)
-	Left() // nothing is owed any more: the relay may end
+	Ready() // there is a list, for the first time
+	Left()  // nothing is owed any more: the relay may end
 }
 
 // call is what a Node knows of a flow.
@@ -149,11 +151,14 @@
 	begun    bool // a connection has come that is none from before the start
 	told     bool // discovery itself has given a list
 	leaveBy  time.Duration
+	sockets  int    // descriptors that there are; 0: not told yet
+	held     int    // and how many of them another process of this relay has
 	drains   uint64 // counts the calls that changed whether clients are sent away
 	draining bool   // they are, as far as the books know
 	ready    atomic.Bool
 	drained  atomic.Bool // they are to be
 	leaving  atomic.Bool
+	replaced atomic.Bool // the next process takes who comes
 }
 
 // NewNode checks a configuration and starts the books.
@@ -215,6 +220,13 @@
 // used, nor one that is drained. It may be called from any goroutine.
 func (n *Node) Ready() bool { return n.ready.Load() && !n.drained.Load() }
 
+// SetReplaced says whether another process takes the connections that come, and returns
+// whether one did before. It may be called from any goroutine.
+func (n *Node) SetReplaced(on bool) (was bool) { return n.replaced.Swap(on) }
+
+// Replaced says so as well.
+func (n *Node) Replaced() bool { return n.replaced.Load() }
+
 // Leaving says whether the relay is on its way out. It may be called from any goroutine.
 func (n *Node) Leaving() bool { return n.leaving.Load() }
 
@@ -364,9 +376,13 @@
 		within = handOver
 	}
 	n.leaving.Store(true)
+	notice := lateArrivals // a client moved earlier might be sent right back here
+	if n.replaced.Load() {
+		notice = 0 // the next process takes all who come
+	}
 	n.run(now, func() {
 		n.leaveBy = now + within
-		n.after(lateTimer, 0, lateArrivals) // a client moved earlier might be sent right back here
+		n.after(lateTimer, 0, notice)
 	})
 	n.log.Info("leaving", zap.Duration("within", within))
 }
@@ -402,7 +418,8 @@
 	}
 	was := n.cfg
 	changed, later := []string{}, []string{}
-	shares := Deal(sockets, cfg.MemoryMB, was.Management != "")
+	n.sockets = sockets
+	shares := Deal(sockets-n.held, cfg.MemoryMB, was.Management != "")
 	n.run(now, func() {
 		if cfg.Discovery != was.Discovery {
 			changed = append(changed, "discovery")
@@ -436,7 +453,7 @@
 		}
 	}
 	cfg.Name, cfg.Listen, cfg.PeerListen, cfg.Settings = was.Name, was.Listen, was.PeerListen, was.Settings
-	cfg.Management = was.Management
+	cfg.Management, cfg.Scratch = was.Management, was.Scratch
 	n.cfg = cfg
 	n.log.Info("configuration read again", zap.Strings("taken", changed), zap.String("discovery", cfg.Discovery),
 		zap.Int("flows", shares.Flows))
@@ -446,6 +463,19 @@
 	return nil
 }
 
+// SetSockets says how many descriptors there are, where the configuration alone does not.
+func (n *Node) SetSockets(sockets int) { n.sockets = sockets }
+
+// Elsewhere hears how many descriptors another process of this relay holds: the limits are on both.
+func (n *Node) Elsewhere(now time.Duration, held int) {
+	held = max(0, min(held, n.sockets))
+	if held == n.held {
+		return
+	}
+	n.held = held
+	n.run(now, func() { n.host.Limits(Deal(n.sockets-held, n.cfg.MemoryMB, n.cfg.Management != "")) })
+}
+
 // meet takes in the peers' addresses.
 func (n *Node) meet(peers []string) {
 	n.peers = map[netip.AddrPort]int{}
@@ -630,18 +660,22 @@
 			b.addr.Store(&addr)
 		}
 		b.set(n.now, e.line.State)
+		b.line = e.line
 		named[b] = true
 		lines = append(lines, e.line)
 	}
 	if kind != balance.ListDelta {
 		for _, b := range n.named {
 			if !named[b] {
+				b.line.State = balance.StateGone
 				b.set(n.now, balance.StateGone)
 			}
 		}
 	}
 	n.balancer.List(n.now, kind, lines)
-	n.ready.Store(true)
+	if !n.ready.Swap(true) {
+		n.host.Ready()
+	}
 }
 
 // Probed hears a probe's answer.
--- /dev/null
+++ b/internal/relay/handover.go
@@ -0,0 +1,531 @@
+// This file drives the handing over of a relay from one process to the next, on a
+// Unix socket in the folder that both see: the listening sockets, so that there is
+// one queue and nobody in it is turned back, and what the machine hands on. It must
+// never keep either process waiting for longer than it says, take anything from
+// another user's process, or be needed: without it each process serves by itself.
+
+package relay
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"aspenbarrow/internal/machine"
+)
+
+const (
+	handingOver = time.Second            // for the whole of it; then the next process starts as a fresh one
+	tellEvery   = 100 * time.Millisecond // how often the old process says what it still holds and sees
+	magic       = "abO1"                 // begins what is handed over: its form
+	lineServe   = "SERVING"              // new to old: it takes who comes from now on
+	lineHeld    = "HELD"                 // old to new: so many descriptors are still the old one's
+	lineSeen    = "SEEN"                 // old to new: what it goes on seeing of the backends
+	lineDrain   = "DRAIN"                // both ways: staff have said so to one of them
+	lineUndrain = "UNDRAIN"
+)
+
+// listenShared opens a listening socket that another process of this relay may open as well.
+func listenShared(log *zap.Logger) net.ListenConfig {
+	return net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		if err := c.Control(func(fd uintptr) { failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) }); err != nil {
+			failed = err
+		}
+		if failed != nil {
+			log.Warn("address cannot be shared with a next process", zap.Error(failed))
+		}
+		return nil
+	}}
+}
+
+// link is one side of the talk between two processes of a relay.
+type link struct {
+	conn *net.UnixConn
+	in   *bufio.Reader
+	mu   sync.Mutex
+}
+
+// say sends a line. A process that takes none is given up by whoever reads.
+func (l *link) say(line string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.conn.SetWriteDeadline(time.Now().Add(handingOver))
+	_, _ = io.WriteString(l.conn, line+"\n")
+}
+
+func (l *link) hear() (string, error) {
+	var line []byte
+	for {
+		part, err := l.in.ReadSlice('\n')
+		line = append(line, part...)
+		switch {
+		case err == nil:
+			return string(line[:len(line)-1]), nil
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return "", err
+		case len(line) > machine.MostBequest:
+			return "", fmt.Errorf("a line over %d bytes", machine.MostBequest)
+		}
+	}
+}
+
+// links are those to the processes before and after this one, for what staff say to one of them.
+type links struct {
+	mu  sync.Mutex
+	all []*link
+}
+
+func (s *links) add(l *link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all = append(s.all, l)
+}
+
+func (s *links) remove(l *link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.all {
+		if s.all[i] == l {
+			s.all = append(s.all[:i], s.all[i+1:]...)
+			return
+		}
+	}
+}
+
+// say tells all of them without waiting.
+func (s *links) say(line string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.all {
+		go l.say(line)
+	}
+}
+
+// close ends all of them.
+func (s *links) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.all {
+		_ = l.conn.Close()
+	}
+}
+
+// drainWord passes what staff said to the other process on to this one.
+func (r *Relay) drainWord(line string) {
+	if line == lineDrain || line == lineUndrain {
+		r.drain(line == lineDrain)
+	}
+}
+
+// meeting is where the next process finds this one.
+func meeting(cfg *Config) string {
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, cfg.Listen+" "+cfg.Name)
+	return filepath.Join(cfg.Scratch, fmt.Sprintf("aspenbarrow-%08x.sock", h.Sum32()))
+}
+
+// --- the new process -----------------------------------------------------------------
+
+// legacy is what the old process has handed over.
+type legacy struct {
+	*link
+	listener *net.TCPListener
+	peers    net.PacketConn // nil: it hears none
+	memory   []byte
+	over     chan struct{} // closed once the old process is gone
+}
+
+// alive says whether the old process still runs.
+func (g *legacy) alive() bool {
+	if g == nil {
+		return false
+	}
+	select {
+	case <-g.over:
+		return false
+	default:
+		return true
+	}
+}
+
+// inherit asks the old process, if there is one.
+func inherit(cfg *Config, log *zap.Logger) *legacy {
+	if cfg.Management == "" || cfg.Scratch == "" {
+		return nil
+	}
+	path := meeting(cfg)
+	c, err := net.DialTimeout("unix", path, handingOver/4)
+	if err != nil {
+		if !errors.Is(err, os.ErrNotExist) && !errors.Is(err, unix.ECONNREFUSED) { // nobody there, or one that was killed
+			log.Warn("nothing is taken over", zap.Error(err))
+		}
+		return nil
+	}
+	l, err := receive(&link{conn: c.(*net.UnixConn), in: bufio.NewReader(c)}, cfg)
+	if err != nil {
+		_ = c.Close()
+		log.Warn("nothing is taken over", zap.Error(err))
+		return nil
+	}
+	return l
+}
+
+// receive reads the sockets and what goes with them.
+func receive(l *link, cfg *Config) (*legacy, error) {
+	if err := sameUser(l.conn); err != nil {
+		return nil, err
+	}
+	_ = l.conn.SetDeadline(time.Now().Add(handingOver))
+	head, rights := make([]byte, len(magic)+4), make([]byte, unix.CmsgSpace(2*4))
+	n, nr, _, _, err := l.conn.ReadMsgUnix(head, rights)
+	if err == nil && n < len(head) {
+		_, err = io.ReadFull(l.conn, head[n:])
+	}
+	if err != nil {
+		return nil, fmt.Errorf("the old process says nothing: %w", err)
+	}
+	files, err := passed(rights[:nr])
+	for _, f := range files {
+		defer f.Close()
+	}
+	size := binary.BigEndian.Uint32(head[len(magic):])
+	switch {
+	case err != nil:
+		return nil, err
+	case string(head[:len(magic)]) != magic || size > machine.MostBequest || len(files) == 0:
+		return nil, fmt.Errorf("the old process hands over what this one does not know: %q, %d bytes, %d sockets",
+			head[:len(magic)], size, len(files))
+	}
+	g := &legacy{link: l, memory: make([]byte, size), over: make(chan struct{})}
+	if _, err := io.ReadFull(l.conn, g.memory); err != nil {
+		return nil, fmt.Errorf("the old process has not said all: %w", err)
+	}
+	_ = l.conn.SetDeadline(time.Time{})
+	ln, err := net.FileListener(files[0])
+	if err != nil {
+		return nil, fmt.Errorf("listening socket: %w", err)
+	}
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok || !sameAddress(tcp.Addr().String(), cfg.Listen) {
+		_ = ln.Close()
+		return nil, fmt.Errorf("the old process listens at %v, not at %s", ln.Addr(), cfg.Listen)
+	}
+	g.listener = tcp
+	if len(files) > 1 && cfg.PeerListen != "" {
+		if p, err := net.FilePacketConn(files[1]); err == nil && sameAddress(p.LocalAddr().String(), cfg.PeerListen) {
+			g.peers = p
+		} else if err == nil {
+			_ = p.Close()
+		}
+	}
+	return g, nil
+}
+
+func passed(rights []byte) (files []*os.File, err error) {
+	all, err := unix.ParseSocketControlMessage(rights)
+	if err != nil {
+		return nil, err
+	}
+	for _, m := range all {
+		fds, err := unix.ParseUnixRights(&m)
+		if err != nil {
+			return files, err
+		}
+		for _, fd := range fds {
+			files = append(files, os.NewFile(uintptr(fd), "handed over"))
+		}
+	}
+	return files, nil
+}
+
+// sameAddress says whether a socket's address is the one that is wanted, of which the port may be any.
+func sameAddress(have, want string) bool {
+	host, port, err := net.SplitHostPort(want)
+	h, p, err2 := net.SplitHostPort(have)
+	return err == nil && err2 == nil && h == host && (port == "0" || p == port)
+}
+
+func sameUser(c *net.UnixConn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var cred *unix.Ucred
+	if err2 := raw.Control(func(fd uintptr) { cred, err = unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED) }); err2 != nil {
+		err = err2
+	}
+	if err == nil && int(cred.Uid) != os.Getuid() {
+		err = fmt.Errorf("the other process is user %d's", cred.Uid)
+	}
+	return err
+}
+
+// succeed takes over from the old process once this one is ready, and hears it to its end.
+func (r *Relay) succeed(g *legacy) {
+	r.links.add(g.link)
+	defer r.links.remove(g.link)
+	defer close(g.over)
+	for {
+		line, err := g.hear()
+		if err != nil {
+			_ = g.conn.Close()
+			r.log.Info("the old process has ended")
+			r.post(func(now time.Duration) {
+				r.node.Elsewhere(now, 0)
+				_ = r.node.Beside(now, nil)
+			})
+			return
+		}
+		switch word, rest, _ := strings.Cut(line, " "); word {
+		case lineHeld:
+			if n, err := strconv.Atoi(rest); err == nil {
+				r.post(func(now time.Duration) { r.node.Elsewhere(now, n) })
+			}
+		case lineSeen:
+			r.post(func(now time.Duration) {
+				if err := r.node.Beside(now, []byte(rest)); err != nil {
+					r.log.Warn("what the old process sees cannot be read", zap.Error(err))
+				}
+			})
+		default:
+			r.drainWord(line)
+		}
+	}
+}
+
+// --- the old process -----------------------------------------------------------------
+
+// estate is where the next process may come.
+type estate struct {
+	relay    *Relay
+	path     string
+	mu       sync.Mutex
+	listener *net.UnixListener // nil: closed
+	closed   bool
+}
+
+// newEstate opens the meeting place in the name of this process. What an older one has left there goes.
+func newEstate(cfg *Config, r *Relay) (*estate, error) {
+	e := &estate{relay: r, path: meeting(cfg)}
+	return e, e.open()
+}
+
+func (e *estate) open() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed {
+		return net.ErrClosed
+	}
+	if e.listener != nil {
+		_ = e.listener.Close()
+	}
+	own := fmt.Sprintf("%s.%d", e.path, os.Getpid())
+	_ = os.Remove(own)
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: own, Net: "unix"})
+	if err != nil {
+		return err
+	}
+	l.SetUnlinkOnClose(false) // by then it may be the next process's
+	if err := os.Rename(own, e.path); err != nil {
+		_ = l.Close()
+		return err
+	}
+	e.listener = l
+	return nil
+}
+
+// serve waits for the next process, and for another if that one ends first: the place was its own by then.
+func (e *estate) serve() {
+	for {
+		c, err := e.listener.AcceptUnix()
+		if err != nil {
+			return
+		}
+		l := &link{conn: c, in: bufio.NewReader(c)}
+		if err := e.give(l); err != nil {
+			e.relay.log.Warn("nothing is handed over", zap.Error(err))
+		}
+		_ = c.Close()
+		if err := e.open(); err != nil {
+			return
+		}
+	}
+}
+
+func (e *estate) close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed = true; e.listener != nil {
+		_ = e.listener.Close()
+	}
+}
+
+// give hands over, and from then on lets the next process take who comes for as long as it lives.
+func (e *estate) give(l *link) error {
+	r := e.relay
+	if err := sameUser(l.conn); err != nil {
+		return err
+	}
+	type will struct {
+		text []byte
+		err  error
+	}
+	asked := make(chan will, 1)
+	go r.post(func(now time.Duration) {
+		text, err := r.node.Bequeath(now)
+		asked <- will{text, err}
+	})
+	var w will
+	select {
+	case w = <-asked:
+	case <-time.After(handingOver / 2):
+		w.err = errors.New("the loop has no time")
+	}
+	if w.err != nil {
+		return w.err
+	}
+	fds, done, err := r.descriptors()
+	if err != nil {
+		return err
+	}
+	defer done()
+	head := binary.BigEndian.AppendUint32([]byte(magic), uint32(len(w.text)))
+	_ = l.conn.SetWriteDeadline(time.Now().Add(handingOver / 2))
+	if _, _, err := l.conn.WriteMsgUnix(head, unix.UnixRights(fds...), nil); err != nil {
+		return err
+	}
+	if _, err := l.conn.Write(w.text); err != nil {
+		return err
+	}
+	r.log.Info("handed over to the next process", zap.Int("bytes", len(w.text)))
+	r.links.add(l)
+	defer r.links.remove(l)
+	served := make(chan struct{})
+	defer close(served)
+	defer func() {
+		if !r.node.Leaving() && r.node.SetReplaced(false) {
+			r.log.Warn("the next process has ended, this one takes who comes again")
+			r.park(false)
+		}
+	}()
+	for {
+		line, err := l.hear()
+		if err != nil {
+			return nil
+		}
+		if line == lineServe && !r.node.SetReplaced(true) {
+			r.park(true)
+			go r.tellNext(l, served)
+			continue
+		}
+		r.drainWord(line)
+	}
+}
+
+// descriptors are those of the sockets that the next process shares. They stay this process's; done is to be
+// called once they have been sent.
+func (r *Relay) descriptors() (fds []int, done func(), err error) {
+	var files []*os.File
+	done = func() {
+		for _, f := range files {
+			_ = f.Close()
+		}
+	}
+	f, err := r.listener.File()
+	if err != nil {
+		return nil, done, err
+	}
+	files = append(files, f)
+	if c, ok := r.peers.socket().(*net.UDPConn); ok {
+		if f, err := c.File(); err == nil {
+			files = append(files, f)
+		}
+	}
+	for _, f := range files {
+		raw, err := f.SyscallConn()
+		if err != nil {
+			return nil, done, err
+		}
+		// Not Fd: that would have the socket block, for both processes.
+		if err := raw.Control(func(fd uintptr) { fds = append(fds, int(fd)) }); err != nil {
+			return nil, done, err
+		}
+	}
+	return fds, done, nil
+}
+
+// tellNext says what this process still holds and goes on seeing, until the next one has ended.
+func (r *Relay) tellNext(l *link, served <-chan struct{}) {
+	tick := time.NewTicker(tellEvery)
+	defer tick.Stop()
+	last, asked := -1, make(chan []byte, 1)
+	for {
+		if n := r.held(); n != last {
+			l.say(fmt.Sprintf("%s %d", lineHeld, n))
+			last = n
+		}
+		go r.post(func(time.Duration) {
+			text, _ := r.node.Seen()
+			asked <- text
+		})
+		select {
+		case text := <-asked:
+			if len(text) > 0 {
+				l.say(lineSeen + " " + string(text))
+			}
+		case <-served:
+			return
+		}
+		select {
+		case <-tick.C:
+		case <-served:
+			return
+		}
+	}
+}
+
+// held is how many descriptors this process may have in use.
+func (r *Relay) held() int {
+	return 2*int(r.flowing.Load()) + r.lobby.guests() + machine.OwnSockets + int(r.spare.Load())
+}
+
+// park has this process leave those who come to the next one, or take them again.
+func (r *Relay) park(on bool) {
+	if on {
+		_ = r.listener.SetDeadline(time.Unix(1, 0))
+	} else {
+		_ = r.listener.SetDeadline(time.Time{})
+		select {
+		case r.unpark <- struct{}{}:
+		default:
+		}
+	}
+	r.peers.park(on)
+}
+
+// awaitTurn holds a process that has taken over until it is ready, or the old one is gone.
+func (r *Relay) awaitTurn(ctx context.Context, g *legacy) bool {
+	select {
+	case <-r.listed:
+	case <-g.over:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
--- a/internal/relay/lobby.go
+++ b/internal/relay/lobby.go
@@ -78,6 +78,12 @@
 	_, _ = io.CopyN(io.Discard, c, machine.MostReadOff)
 }
 
+func (l *lobby) guests() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.m.Guests()
+}
+
 // resize changes the budget.
 func (l *lobby) resize(room int) {
 	l.mu.Lock()
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -93,12 +93,14 @@
 func (h host) Datagram(to string, data []byte) { h.peers.tell(to, data) }
 func (h host) Ask(watch bool)                  { h.discovery.ask(watch) }
 func (h host) Follow(address string)           { h.discovery.move(address) }
+func (h host) Ready()                          { close(h.listed) }
 func (h host) Left()                           { close(h.left) }
 
 func (h host) Limits(s machine.Shares) {
 	h.room.Store(int64(s.Flows))
 	h.lobby.resize(s.Guests)
 	h.probes.resize(s.Probes)
+	h.spare.Store(int64(s.Probes + s.Calls))
 	if h.second != nil {
 		h.second.Resize(s.Calls)
 	}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -23,10 +23,12 @@
 	relay  *Relay
 	listen string // empty: nobody is told or heard
 	out    chan datagram
+	conn   net.PacketConn // perhaps of the process before this one
+	heard  chan struct{}  // this process is to hear, now or again
 }
 
 func newPeers(cfg Config, r *Relay) *peers {
-	p := &peers{relay: r, out: make(chan datagram, 64)}
+	p := &peers{relay: r, out: make(chan datagram, 64), heard: make(chan struct{}, 1)}
 	if r.settings.Peers {
 		p.listen = cfg.PeerListen
 	}
@@ -49,16 +51,51 @@
 	if p.listen == "" {
 		return nil
 	}
-	conn, err := net.ListenPacket("udp", p.listen)
-	if err != nil {
-		return err
+	if p.conn == nil {
+		lc := net.ListenConfig{}
+		if p.relay.second != nil { // a next process may open it as well
+			lc = listenShared(p.relay.log)
+		}
+		conn, err := lc.ListenPacket(ctx, "udp", p.listen)
+		if err != nil {
+			return err
+		}
+		p.conn = conn
 	}
-	context.AfterFunc(ctx, func() { _ = conn.Close() })
-	go p.send(ctx, conn)
-	go p.receive(conn)
+	context.AfterFunc(ctx, func() { _ = p.conn.Close() })
+	go p.send(ctx, p.conn)
+	go func() {
+		select {
+		case <-p.heard:
+			p.receive(ctx, p.conn)
+		case <-ctx.Done():
+		}
+	}()
 	return nil
 }
 
+// hear begins to take datagrams in. A process that takes over leaves them to the old one until then.
+func (p *peers) hear() { p.park(false) }
+
+// park leaves datagrams to another process that has the same socket, or takes them again.
+func (p *peers) park(on bool) {
+	if p.conn == nil {
+		return
+	}
+	if on {
+		_ = p.conn.SetReadDeadline(time.Unix(1, 0))
+		return
+	}
+	_ = p.conn.SetReadDeadline(time.Time{})
+	select {
+	case p.heard <- struct{}{}:
+	default:
+	}
+}
+
+// socket is what datagrams come by; nil: nothing.
+func (p *peers) socket() net.PacketConn { return p.conn }
+
 func (p *peers) send(ctx context.Context, conn net.PacketConn) {
 	for {
 		select {
@@ -76,13 +113,21 @@
 	}
 }
 
-func (p *peers) receive(conn net.PacketConn) {
+func (p *peers) receive(ctx context.Context, conn net.PacketConn) {
 	buf := make([]byte, machine.MaxDatagram+1)
 	for {
 		n, addr, err := conn.ReadFrom(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if timedOut(err) { // parked
+			select {
+			case <-p.heard:
+			case <-ctx.Done():
+				return
+			}
+			continue
+		}
 		u, ok := addr.(*net.UDPAddr)
 		if err != nil || !ok || n > machine.MaxDatagram {
 			continue
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -28,6 +27,7 @@
 // Relay is one running relay.
 type Relay struct {
 	settings  *settings.Settings
+	started   Config // what it was told at its start
 	seed      uint64
 	log       *zap.Logger
 	start     time.Time
@@ -46,6 +46,13 @@
 	peers     *peers
 	second    *management.Server // nil: there is no second address
 	drains    chan struct{}      // whether clients are to be sent away may have changed
+	legacy    *legacy            // of the process before this one; nil: there is none
+	links     links
+	listed    chan struct{} // closed once there is a list
+	serving   atomic.Bool   // who comes is taken
+	unpark    chan struct{} // the acceptor is to look again
+	parked    chan struct{} // the acceptor waits
+	spare     atomic.Int64  // descriptors of probes and of the second address
 
 	// The loop's own.
 	node  *machine.Node
@@ -55,9 +62,10 @@
 // New checks a configuration and prepares a relay. Nothing listens yet.
 func New(cfg Config, log *zap.Logger) (*Relay, error) {
 	s := cfg.Settings
-	r := &Relay{settings: &s, seed: cfg.Seed, log: log, start: time.Now(), events: make(chan func(time.Duration), 1024),
+	r := &Relay{settings: &s, started: cfg, seed: cfg.Seed, log: log, start: time.Now(), events: make(chan func(time.Duration), 1024),
 		stopped: make(chan struct{}), left: make(chan struct{}), busyLine: machine.BusyAnswer(machine.HoldOff(&s)),
-		flows: map[uint64]*flow{}, drains: make(chan struct{}, 1)}
+		flows: map[uint64]*flow{}, drains: make(chan struct{}, 1), listed: make(chan struct{}), unpark: make(chan struct{}, 1),
+		parked: make(chan struct{}, 1)}
 	r.born = time.Duration(r.start.UnixNano())
 	shares := machine.Deal(descriptors(cfg.Sockets), cfg.MemoryMB, cfg.Management != "")
 	r.room.Store(int64(shares.Flows))
@@ -70,13 +78,11 @@
 		return nil, err
 	}
 	r.settings = r.node.Settings()
-	addr, err := net.ResolveTCPAddr("tcp", cfg.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("listen address: %w", err)
-	}
-	if r.listener, err = net.ListenTCP("tcp", addr); err != nil {
+	r.node.SetSockets(descriptors(cfg.Sockets))
+	if r.listener, err = r.listen(cfg); err != nil {
 		return nil, err
 	}
+	r.spare.Store(int64(shares.Probes + shares.Calls))
 	if cfg.Management != "" {
 		if r.second, err = management.Listen(cfg.Management, shares.Calls, staff{r}, log); err != nil {
 			_ = r.listener.Close()
@@ -86,6 +92,30 @@
 	return r, nil
 }
 
+// listen opens the clients' address, or takes it over from the process before.
+func (r *Relay) listen(cfg Config) (*net.TCPListener, error) {
+	if r.legacy = inherit(&cfg, r.log); r.legacy != nil {
+		if err := r.node.Inherit(r.now(), r.legacy.memory); err != nil {
+			r.log.Warn("nothing is taken over", zap.Error(err))
+		}
+		if c := r.legacy.peers; c != nil && r.peers.listen != "" {
+			r.peers.conn = c
+		} else if c != nil {
+			_ = c.Close()
+		}
+		return r.legacy.listener, nil
+	}
+	lc := net.ListenConfig{}
+	if cfg.Management != "" {
+		lc = listenShared(r.log)
+	}
+	l, err := lc.Listen(context.Background(), "tcp", cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	return l.(*net.TCPListener), nil
+}
+
 // descriptors is how many there are: what the configuration says, within what the
 // system allows.
 func descriptors(configured int) int {
@@ -121,27 +151,52 @@
 	helpers, cancel := context.WithCancel(context.Background())
 	agent := r.discovery.address
 	go r.loop(stop)
+	second := ""
+	if r.second != nil {
+		second = r.second.Addr().String()
+		go r.second.Serve()
+		defer r.second.Close()
+	}
 	go r.discovery.run(helpers)
 	if err := r.peers.run(helpers); err != nil {
 		r.log.Error("peers cannot be heard", zap.Error(err))
 	}
-	if r.second != nil {
-		go r.second.Serve()
-		defer r.second.Close()
+	defer r.links.close()
+	turn := true
+	if g := r.legacy; g != nil {
+		go r.succeed(g)
+		turn = r.awaitTurn(ctx, g)
 	}
 	accepted := make(chan error, 1)
-	go func() { accepted <- r.accept() }()
-	second := ""
-	if r.second != nil {
-		second = r.second.Addr().String()
+	if turn {
+		r.peers.hear()
+		r.serving.Store(true)
+		go func() { accepted <- r.accept() }()
+		if r.legacy != nil {
+			r.legacy.say(lineServe)
+		}
+	}
+	if cfg := &r.started; cfg.Management != "" && cfg.Scratch != "" {
+		if e, err := newEstate(cfg, r); err == nil {
+			go e.serve()
+			defer e.close()
+		} else {
+			r.log.Warn("a next process will find nothing to take over", zap.Error(err))
+		}
 	}
 	r.log.Info("serving", zap.Stringer("address", r.listener.Addr()), zap.Int64("flows", r.room.Load()),
 		zap.String("discovery", agent), zap.String("management", second))
 	var err error
 	select {
 	case <-ctx.Done():
+		if r.legacy.alive() { // it goes on, and takes who comes from now on
+			r.node.SetReplaced(true)
+			_ = r.listener.SetDeadline(time.Unix(1, 0))
+			_ = r.legacy.conn.Close()
+		}
 		r.post(r.node.Leave)
 		<-r.left
+		r.closeDoor()
 	case err = <-accepted:
 	}
 	_ = r.listener.Close()
@@ -153,6 +208,23 @@
 	return err
 }
 
+// closeDoor takes in whoever still waits in the queue, so that they hear a last word: closing the socket over
+// them would reset them. While another process has the queue as well it is left to that one.
+func (r *Relay) closeDoor() {
+	if r.node.Replaced() || !r.serving.Load() {
+		return
+	}
+	select {
+	case <-r.parked: // of a time when a next process came and went
+	default:
+	}
+	_ = r.listener.SetDeadline(time.Now().Add(lastArrivals))
+	<-r.parked
+}
+
+// lastArrivals is how long the queue is emptied at the end.
+const lastArrivals = 10 * time.Millisecond
+
 // accept takes connections in, all of them at once: who has no whole OPEN yet is
 // a guest of the lobby, and only that costs one its place. EMFILE never comes up.
 func (r *Relay) accept() error {
@@ -162,6 +234,18 @@
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
+			if timedOut(err) { // parked
+				select {
+				case r.parked <- struct{}{}:
+				default:
+				}
+				select {
+				case <-r.unpark:
+					continue
+				case <-r.stopped:
+					return nil
+				}
+			}
 			r.log.Error("accept", zap.Error(err))
 			time.Sleep(5 * time.Millisecond)
 			continue
@@ -202,7 +286,7 @@
 		return management.Leaving
 	case n.Drained():
 		return management.Drained
-	case n.Ready():
+	case n.Ready() && s.serving.Load():
 		return management.Serving
 	}
 	return management.Starting
@@ -211,9 +295,19 @@
 func (s staff) Figures() machine.Figures { return s.node.Ledger().Read() }
 
 func (s staff) Drain(on bool) {
-	s.node.SetDrained(on) // PING says so from now on
+	s.drain(on)
+	word := lineUndrain
+	if on {
+		word = lineDrain
+	}
+	s.links.say(word) // while there are two processes the relay is both
+}
+
+// drain has clients sent away, or taken again.
+func (r *Relay) drain(on bool) {
+	r.node.SetDrained(on) // PING says so from now on
 	select {
-	case s.drains <- struct{}{}:
+	case r.drains <- struct{}{}:
 	default: // the loop will look anyway
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -200,6 +200,7 @@
 	if err := r.peers.run(ctx); err != nil {
 		t.Fatal(err)
 	}
+	r.peers.hear()
 	for _, size := range []int{5, machine.MaxDatagram + 1, 5} { // the one that is too long is dropped
 		if _, err := known.WriteTo(make([]byte, size), at); err != nil {
 			t.Fatal(err)
--- a/internal/world/relay.go
+++ b/internal/world/relay.go
@@ -132,6 +132,7 @@
 }
 
 func (r *relay) Bad(uint64, error) {}
+func (r *relay) Ready()            {}
 
 func (r *relay) Release(id balance.BackendID) {
 	if c := r.probes.Drop(id); c != nil {
