Settings at SIGHUP are taken whole or not at all, and what is open keeps its own

Need: a reload left all settings until a restart, so clients that used a new class were refused and attempts stayed as many; files with a deadline of -5 or without a key were taken.

Not taken: a pointer to the settings in each request, since the module's sums by class would have to tell classes of two files apart at every connection. A relay's place, names of zones and forms of reports still wait for a restart, and are logged.

--- a/balance/api.go
+++ b/balance/api.go
@@ -60,6 +60,7 @@
 	Scope      Scope
 	Window     time.Duration // how long repeats of a keyed request are discarded
 	Worth      float64
+	Gone       bool // dropped from the settings: only requests taken before have it
 }
 
 // Timing says how long a request may take and how often it is tried. It never
@@ -112,7 +113,8 @@
 	CrossZone, Waste, Probe, Move, Peer, List, LateFail float64
 }
 
-// Settings are what a relay is born with.
+// Settings are what a relay is born with, or has from a reload on. A class's number stays its own: a changed
+// class is another, with a number behind the others.
 type Settings struct {
 	Me, Relays int // this relay's number among how many
 	Zone       int
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,21 +33,12 @@
 
 // New starts a relay's decisions.
 func New(now time.Duration, seed uint64, s Settings, do Actions) *Balancer {
-	if !s.RetryAfter {
-		s.MaxRetryAfter = 0
-	}
-	b := &Balancer{set: s, do: do, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+	b := &Balancer{do: do, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		servers: map[BackendID]*server{}, calls: map[uint64]*call{}, divert: map[uint64]diversion{},
 		kinds: map[int]*kind{},
-		usual: make([]float64, len(s.Classes)+1), seen: make([]float64, len(s.Classes)+1),
-		all:     sums{untold: make([]int, len(s.Classes))},
-		taken:   make([]int, max(1, len(s.Tenants))),
-		cleared: now, budget: 1, crowd: 1, quickest: math.Inf(1),
-		share: slices.Index(s.Report, FieldLoadShare)}
-	for _, class := range s.Classes {
-		b.quickest = min(b.quickest, float64(class.MessageAim)/float64(3*time.Millisecond))
-	}
-	b.usual[len(s.Classes)] = 1
+		usual: []float64{1}, seen: []float64{0}, taken: make([]int, max(1, len(s.Tenants))),
+		cleared: now, budget: 1, crowd: 1, share: slices.Index(s.Report, FieldLoadShare)}
+	b.Retune(s)
 	if s.ListOnRequest {
 		b.askList(now)
 	}
@@ -55,6 +46,21 @@
 	return b
 }
 
+// Retune takes other settings over. Requests and connections keep the class and the number of attempts that
+// they were taken under; loads and placements stay.
+func (b *Balancer) Retune(s Settings) {
+	if !s.RetryAfter {
+		s.MaxRetryAfter = 0
+	}
+	b.set, b.quickest = s, math.Inf(1)
+	for _, class := range s.Classes {
+		if !class.Gone {
+			b.quickest = min(b.quickest, float64(class.MessageAim)/float64(3*time.Millisecond))
+		}
+	}
+	b.grow(len(s.Classes))
+}
+
 // --- placing -----------------------------------------------------------------
 
 // place chooses the backend of a connection, as the design page reads.
@@ -243,9 +249,9 @@
 // tryLimit is how many attempts the request has in all.
 func (b *Balancer) tryLimit(c *call) int {
 	if n := c.Timing.Attempts; n > 0 {
-		return min(n, b.set.TryLimit)
+		return min(n, c.most)
 	}
-	return b.set.TryLimit
+	return c.most
 }
 
 // again makes a further attempt, after a pause where the timing says so. A pause that outlasts the
--- a/balance/books.go
+++ b/balance/books.go
@@ -52,6 +52,7 @@
 	key       uint64 // what its home is hashed from
 	flow      uint64 // what its diversion is remembered under
 	deadline  time.Duration
+	most      int // attempts, by the settings that it was taken under
 	tries     int
 	tried     [4]*server
 	at        *server       // where the pending attempt or the open connection is
@@ -185,7 +186,7 @@
 	if r.Timing == nil {
 		r.Timing = &untimed
 	}
-	c := &call{Request: r, deadline: now + r.Left, key: mix(r.Key), load: sane(r.Load)}
+	c := &call{Request: r, most: b.set.TryLimit, deadline: now + r.Left, key: mix(r.Key), load: sane(r.Load)}
 	if t := r.Timing.Total; t > 0 {
 		c.deadline = min(c.deadline, now+t)
 	}
@@ -203,6 +204,19 @@
 	return c
 }
 
+// grow makes room for so many classes. What all classes bring stays last.
+func (b *Balancer) grow(classes int) {
+	last := len(b.usual) - 1
+	if more := classes - last; more > 0 {
+		b.usual = slices.Insert(b.usual, last, make([]float64, more)...)
+		b.seen = slices.Insert(b.seen, last, make([]float64, more)...)
+		b.all.untold = append(b.all.untold, make([]int, more)...)
+		for _, s := range b.servers {
+			s.untold = append(s.untold, make([]int, more)...)
+		}
+	}
+}
+
 // kindOf returns the books on a server's kind.
 func (b *Balancer) kindOf(s *server) *kind {
 	k := b.kinds[s.Kind]
--- a/cmd/aspenbarrow/main.go
+++ b/cmd/aspenbarrow/main.go
@@ -67,24 +67,28 @@
 	}
 	go func() { // to the process's end: SIGHUP may come while the relay leaves, too
 		for range hup {
-			reload(path, r, log)
+			cfg = reload(path, cfg, r, log)
 		}
 	}()
 	return r.Run(ctx)
 }
 
-// reload reads the configuration again. An unsound one changes nothing.
-func reload(path string, r *relay.Relay, log *zap.Logger) {
+// reload reads the configuration again and returns the one in force. An unsound one changes nothing.
+func reload(path string, old config.Config, r *relay.Relay, log *zap.Logger) config.Config {
 	cfg, err := config.Read(path, os.Getenv, true)
+	if err == nil {
+		err = cfg.Replaces(old)
+	}
 	if err == nil {
 		err = r.Reload(cfg.Relay)
 	}
 	r.Reloaded(err == nil)
 	if err != nil {
 		log.Error("configuration not taken, the running one stays", zap.Error(err))
-		return
+		return old
 	}
 	apply(cfg)
+	return cfg
 }
 
 // apply makes the limits those of this process.
--- a/cmd/aspenbarrow/main_test.go
+++ b/cmd/aspenbarrow/main_test.go
@@ -827,8 +827,7 @@
 		p.up(open(""))
 	}
 	p.reload(setup{discovery: d.Addr(), known: list, sockets: 512, replace: [2]string{`"on-time-ms":500`, `"on-time-ms":400`}})
-	p.logs(`"taken":["limits"]`, 1)
-	p.logs(`"parts":["settings"]`, 1)
+	p.logs(`"taken":["limits","settings"]`, 1)
 }
 
 // turnedAway checks that a bad client hears an error or a close in time, whatever it goes on sending.
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -220,6 +220,8 @@
 func (p *policy) Probed(time.Duration, balance.Report)                  {}
 func (p *policy) Peer(time.Duration, int, []byte)                       {}
 
+func (p *policy) Retune(s balance.Settings) { p.set = s }
+
 func (p *policy) Avoided(time.Duration) (listed, avoided int) {
 	return len(p.state), len(p.state) - len(p.ready)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,7 @@
 	Cores float64
 	Level string // the least that is logged; empty: info
 	file  *file  // what it was read from; nil: the platform's JSON
+	text  []byte // that; nil: TOML
 	given map[string]bool
 }
 
@@ -105,7 +106,7 @@
 	if string(in.Known) == "null" {
 		in.Known = nil
 	}
-	return Config{Cores: in.Limits.Cores, Relay: machine.Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery,
+	return Config{Cores: in.Limits.Cores, text: text, Relay: machine.Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery,
 		Seed: seed, MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, PeerListen: in.PeerListen, Peers: in.Peers,
 		PeersAll: in.PeersAll, Known: in.Known, Settings: s, Management: in.Management, Scratch: env("TMPDIR")}}, nil
 }
--- /dev/null
+++ b/internal/config/reload_test.go
@@ -0,0 +1,95 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const platform = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","management":"","seed":"8c",
+"limits":{"cores":1.0,"memory_mb":64,"sockets":256},"peers":["a:1","b:1"],"known":null,
+"settings":{"azs":["east"],"n-instances":1,"me":0,"tick-ms":4,"classes":[
+{"name":"chat","effect":"read_like","on-time-ms":500,"give-up-ms":2000,"worth":1},
+{"name":"order","effect":"idempotency_key","dedup-scope":"all","dedup-window-ms":900,"on-time-ms":500,"give-up-ms":2000,"worth":2}],
+"family-info":{"mode":"proxy","message-aim-ms":[60,60]},"limits":{"try-limit":4,"dial-timeout-ms":250},"rules":{"fall-ms":3000}}}`
+
+// replaced reads a text as a file that is to replace the sound one.
+func replaced(t *testing.T, text string) error {
+	t.Helper()
+	none := func(string) string { return "" }
+	path := filepath.Join(t.TempDir(), "c.json")
+	read := func(text string) (Config, error) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return Read(path, none, true)
+	}
+	old, err := read(platform)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := read(text)
+	if err != nil {
+		return err
+	}
+	return c.Replaces(old)
+}
+
+func TestEveryPrefixOfASoundFileIsTurnedDown(t *testing.T) {
+	if err := replaced(t, platform); err != nil {
+		t.Fatal(err)
+	}
+	for i := range platform {
+		if replaced(t, platform[:i]) == nil {
+			t.Errorf("the first %d bytes are taken", i)
+		}
+	}
+}
+
+func TestWhatMayReplaceAFile(t *testing.T) {
+	for _, c := range []struct{ name, from, to, reason string }{
+		{"fewer attempts", `"try-limit":4`, `"try-limit":2`, ""},
+		{"another effect", `"effect":"read_like"`, `"effect":"non_idempotent"`, ""},
+		{"a class more", `"classes":[`, `"classes":[{"name":"new","effect":"non_idempotent","on-time-ms":5,"give-up-ms":20,"worth":1},`, "message-aim-ms"},
+		{"a class more, with its aim", `"message-aim-ms":[60,60]`, `"message-aim-ms":[60,60,70]`, ""},
+		{"another list as known", `"known":null`, `"known":{"version":1,"full":true,"servers":[]}`, ""},
+		{"no known list", `"known":null,`, ``, ""},
+		{"no seed", `"seed":"8c",`, ``, "seed"},
+		{"no settings", `"settings":`, `"other":`, "settings"},
+		{"no limits of the settings", `"limits":{"try-limit":4,"dial-timeout-ms":250},`, ``, "settings.limits is missing"},
+		{"no rule", `"fall-ms":3000`, ``, "settings.rules.fall-ms is missing"},
+		{"a class without a deadline", `"on-time-ms":500,"give-up-ms":2000,"worth":1`, `"on-time-ms":500,"worth":1`, "classes[0].give-up-ms is missing"},
+		{"a keyed class without a window", `"dedup-window-ms":900,`, ``, "dedup-window-ms"},
+		{"attempts that are text", `"try-limit":4`, `"try-limit":"4"`, "cannot unmarshal"},
+		{"attempts that are null", `"try-limit":4`, `"try-limit":null`, "was a number"},
+		{"no attempts", `"try-limit":4`, `"try-limit":0`, "no number of attempts"},
+		{"attempts below 0", `"try-limit":4`, `"try-limit":-1`, "no number of attempts"},
+		{"half an attempt", `"try-limit":4`, `"try-limit":1.5`, "cannot unmarshal"},
+		{"attempts without end", `"try-limit":4`, `"try-limit":1e9`, ""},
+		{"a deadline that is text", `"give-up-ms":2000`, `"give-up-ms":"soon"`, "cannot unmarshal"},
+		{"a deadline that is null", `"give-up-ms":2000`, `"give-up-ms":null`, "was a number"},
+		{"a deadline of 0", `"give-up-ms":2000`, `"give-up-ms":0`, "no time above 0"},
+		{"a deadline below 0", `"give-up-ms":2000`, `"give-up-ms":-5`, "no time above 0"},
+		{"no number", `"give-up-ms":2000`, `"give-up-ms":NaN`, "invalid character"},
+		{"a huge deadline", `"give-up-ms":2000`, `"give-up-ms":1e300`, "no time above 0"},
+		{"over all numbers", `"give-up-ms":2000`, `"give-up-ms":1e999`, "cannot unmarshal"},
+		{"two classes of one name", `"name":"order"`, `"name":"chat"`, "no name of its own"},
+		{"an unknown effect", `"effect":"read_like"`, `"effect":"none"`, "unknown effect"},
+	} {
+		text := strings.Replace(platform, c.from, c.to, 1)
+		if text == platform {
+			t.Fatalf("%s: %q is not in the file", c.name, c.from)
+		}
+		err := replaced(t, text)
+		if c.name == "attempts without end" { // refused, whichever check is first
+			if err == nil {
+				t.Error("a thousand million attempts are taken")
+			}
+			continue
+		}
+		if (err == nil) != (c.reason == "") || err != nil && !strings.Contains(err.Error(), c.reason) {
+			t.Errorf("%s: %v, wanted %q", c.name, err, c.reason)
+		}
+	}
+}
--- a/internal/machine/flow.go
+++ b/internal/machine/flow.go
@@ -85,6 +85,9 @@
 	return &Flow{Seq: seq, set: set, book: book}
 }
 
+// Under has a connection that has not said its OPEN yet come under other settings. From then on they stay its own.
+func (f *Flow) Under(set *settings.Settings) { f.set = set }
+
 // Taken counts a connection whose OPEN is whole and that has its place.
 func (f *Flow) Taken() {
 	f.taken.Store(true)
--- a/internal/machine/handover.go
+++ b/internal/machine/handover.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -79,7 +78,7 @@
 
 // Bequeath is what the next process is to know.
 func (n *Node) Bequeath(now time.Duration) ([]byte, error) {
-	b := bequest{Version: bequestVersion, Name: n.cfg.Name, At: now, Classes: n.set.ClassNames, Drained: n.drained.Load()}
+	b := bequest{Version: bequestVersion, Name: n.cfg.Name, At: now, Classes: n.names, Drained: n.drained.Load()}
 	if m, ok := n.balancer.(remembers); ok {
 		b.Memory = m.Memory()
 	}
@@ -95,6 +94,25 @@
 	return text, err
 }
 
+// renumber has the loads of classes go by their numbers in this process.
+func (b *bequest) renumber(names []string) {
+	m := &b.Memory
+	if len(m.Usual) != len(b.Classes)+1 || len(m.Seen) != len(m.Usual) {
+		m.Usual, m.Seen = nil, nil
+		return
+	}
+	usual, seen := make([]float64, len(names)+1), make([]float64, len(names)+1)
+	for i, name := range names {
+		for j, old := range b.Classes { // of several by one name the last is the newest
+			if old == name && m.Seen[j] > 0 {
+				usual[i], seen[i] = m.Usual[j], m.Seen[j]
+			}
+		}
+	}
+	usual[len(names)], seen[len(names)] = m.Usual[len(b.Classes)], m.Seen[len(b.Classes)]
+	m.Usual, m.Seen = usual, seen
+}
+
 // Inherit takes over what the former process handed on; with an error nothing of it.
 func (n *Node) Inherit(now time.Duration, text []byte) error {
 	var b bequest
@@ -116,9 +134,7 @@
 		}
 		l.entries = append(l.entries, member{m.Name, m.Addr, m.Line})
 	}
-	if !slices.Equal(b.Classes, n.set.ClassNames) { // loads go by the classes' numbers
-		b.Memory.Usual, b.Memory.Seen = nil, nil
-	}
+	b.renumber(n.names)
 	n.run(now, func() {
 		if len(l.entries) > 0 && !n.told { // what discovery has said to this process is newer
 			n.listed(l, balance.ListCached)
--- a/internal/machine/machine_test.go
+++ b/internal/machine/machine_test.go
@@ -137,6 +137,7 @@
 
 func (h *host) Order(flow uint64, o Order)      { h.orders[flow] = append(h.orders[flow], o) }
 func (h *host) Ready()                          {}
+func (h *host) Settings(*settings.Settings)     {}
 func (h *host) Move(flow uint64)                { h.moved = append(h.moved, flow) }
 func (h *host) Bad(_ uint64, err error)         { h.bad = append(h.bad, err) }
 func (h *host) Probe(b *Backend)                { h.probed = append(h.probed, b.ID) }
--- a/internal/machine/node.go
+++ b/internal/machine/node.go
@@ -60,6 +60,7 @@
 	List(now time.Duration, kind balance.ListKind, lines []balance.Backend)
 	Connections() (all, byServer int)
 	Avoided(now time.Duration) (listed, avoided int)
+	Retune(s balance.Settings)
 }
 
 var _ Decider = (*balance.Balancer)(nil)
@@ -113,8 +114,9 @@
 	Ask(watch bool)        // discovery: a watch, or the whole list once
 	Follow(address string) // another agent of discovery from now on
 	Limits(s Shares)
-	Ready() // there is a list, for the first time
-	Left()  // nothing is owed any more: the relay may end
+	Settings(s *settings.Settings) // in force from now on; what is under others keeps them
+	Ready()                        // there is a list, for the first time
+	Left()                         // nothing is owed any more: the relay may end
 }
 
 // call is what a Node knows of a flow.
@@ -151,10 +153,11 @@
 	begun    bool // a connection has come that is none from before the start
 	told     bool // discovery itself has given a list
 	leaveBy  time.Duration
-	sockets  int    // descriptors that there are; 0: not told yet
-	held     int    // and how many of them another process of this relay has
-	drains   uint64 // counts the calls that changed whether clients are sent away
-	draining bool   // they are, as far as the books know
+	names    []string // of all classes by their numbers, dropped ones too
+	sockets  int      // descriptors that there are; 0: not told yet
+	held     int      // and how many of them another process of this relay has
+	drains   uint64   // counts the calls that changed whether clients are sent away
+	draining bool     // they are, as far as the books know
 	ready    atomic.Bool
 	drained  atomic.Bool // they are to be
 	leaving  atomic.Bool
@@ -168,7 +171,8 @@
 		backends: map[balance.BackendID]*Backend{}}
 	s := cfg.Settings // a copy: a reload replaces cfg whole
 	n.set = &s
-	n.book.name(s.ClassNames)
+	n.names = slices.Clone(s.ClassNames)
+	n.book.name(n.names)
 	known, err := cfg.known(n.set)
 	if err != nil {
 		return nil, err
@@ -210,7 +214,7 @@
 	return l, nil
 }
 
-// Settings are those in force; they stay the same for as long as the Node lives.
+// Settings are those in force. They never change; a reload puts others in their place.
 func (n *Node) Settings() *settings.Settings { return n.set }
 
 // Config is the configuration in force.
@@ -408,8 +412,8 @@
 }
 
 // Reload takes over what may change while the relay runs: the agent of discovery,
-// the peers' addresses, the limits, the routes and, until discovery has spoken, the known
-// backends; sockets is how many descriptors there are by the new limits. What it
+// the peers' addresses, the limits, the settings, the routes and, until discovery has spoken,
+// the known backends; sockets is how many descriptors there are by the new limits. What it
 // cannot take over is logged. An unsound configuration changes nothing.
 func (n *Node) Reload(now time.Duration, cfg Config, sockets int) error {
 	known, err := cfg.known(n.set)
@@ -417,6 +421,12 @@
 		return err
 	}
 	was := n.cfg
+	cfg.Settings = oneNote(cfg.Settings)
+	set, names, numbers, err := n.merged(cfg.Settings)
+	if err != nil {
+		return err
+	}
+	cfg.Routes = cfg.Routes.Renumber(numbers)
 	changed, later := []string{}, []string{}
 	n.sockets = sockets
 	shares := Deal(sockets-n.held, cfg.MemoryMB, was.Management != "")
@@ -437,22 +447,28 @@
 			changed = append(changed, "known") // what discovery says itself is never older
 			n.listed(known, balance.ListCached)
 		}
+		if !reflect.DeepEqual(set, *n.set) {
+			changed = append(changed, "settings") // what is open keeps those that it was taken under
+			n.set, n.names = &set, names
+			n.book.name(names)
+			n.balancer.Retune(set.Settings)
+			n.host.Settings(n.set)
+		}
 		if !cfg.Routes.Equal(was.Routes) {
 			changed = append(changed, "routes") // an open request keeps the timing that it began with
 		}
 	})
-	cfg.Settings = oneNote(cfg.Settings)
 	for _, part := range []struct {
 		name string
 		same bool
 	}{{"listen", cfg.Listen == was.Listen}, {"name", cfg.Name == was.Name},
 		{"management", cfg.Management == was.Management},
-		{"peer_listen", cfg.PeerListen == was.PeerListen}, {"settings", reflect.DeepEqual(cfg.Settings, was.Settings)}} {
+		{"peer_listen", cfg.PeerListen == was.PeerListen}, {"settings", sameLasting(&cfg.Settings, n.set)}} {
 		if !part.same {
 			later = append(later, part.name)
 		}
 	}
-	cfg.Name, cfg.Listen, cfg.PeerListen, cfg.Settings = was.Name, was.Listen, was.PeerListen, was.Settings
+	cfg.Name, cfg.Listen, cfg.PeerListen, cfg.Settings = was.Name, was.Listen, was.PeerListen, *n.set
 	cfg.Management, cfg.Scratch = was.Management, was.Scratch
 	n.cfg = cfg
 	n.log.Info("configuration read again", zap.Strings("taken", changed), zap.String("discovery", cfg.Discovery),
--- a/internal/machine/probes.go
+++ b/internal/machine/probes.go
@@ -7,6 +7,7 @@
 import (
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"aspenbarrow/balance"
@@ -16,7 +17,7 @@
 // Probes are a relay's probes. Its methods, and those of its probes, are called
 // one at a time.
 type Probes struct {
-	set  *settings.Settings
+	set  atomic.Pointer[settings.Settings]
 	room int
 	used int
 	idle []*Kept // the oldest first
@@ -51,18 +52,25 @@
 }
 
 // NewProbes is for so many connections at once.
-func NewProbes(set *settings.Settings, room int) *Probes { return &Probes{set: set, room: room} }
+func NewProbes(set *settings.Settings, room int) *Probes {
+	p := &Probes{room: room}
+	p.set.Store(set)
+	return p
+}
+
+// Under has probes come under other settings.
+func (p *Probes) Under(set *settings.Settings) { p.set.Store(set) }
 
 // Question is the line that asks; where reports are given, it asks for one.
 func (p *Probes) Question() string {
-	if len(p.set.FieldNames) > 0 {
+	if len(p.set.Load().FieldNames) > 0 {
 		return "STATS\r\n"
 	}
 	return "PING\r\n"
 }
 
 // KeepFor is how long a connection is kept; 0: not at all.
-func (p *Probes) KeepFor() time.Duration { return p.set.IdleClose * 3 / 4 }
+func (p *Probes) KeepFor() time.Duration { return p.set.Load().IdleClose * 3 / 4 }
 
 // Connections is how many there are, kept ones included.
 func (p *Probes) Connections() int { return p.used }
@@ -70,7 +78,7 @@
 // Begin starts a probe. It never waits for a connection: the module would take a
 // probe that waits here for a backend that is silent.
 func (p *Probes) Begin(now time.Duration, b *Backend) (*Probe, ProbeStep) {
-	pr := &Probe{To: b, Addr: b.Addr(), Asked: now, Deadline: now + 2*p.set.DialTimeout, of: p,
+	pr := &Probe{To: b, Addr: b.Addr(), Asked: now, Deadline: now + 2*p.set.Load().DialTimeout, of: p,
 		Report: balance.Report{Backend: b.ID}}
 	if i := slices.IndexFunc(p.idle, func(k *Kept) bool { return k.id == b.ID }); i >= 0 {
 		k := p.take(i)
@@ -138,7 +146,7 @@
 		status = balance.Error
 	}
 	step := pr.done(now, status)
-	pr.Report.Load = parseReport([]byte(report), p.set.FieldNames)
+	pr.Report.Load = parseReport([]byte(report), p.set.Load().FieldNames)
 	if p.KeepFor() <= 0 || slices.ContainsFunc(p.idle, func(k *Kept) bool { return k.id == pr.To.ID }) {
 		p.used--
 		step.Close = append(step.Close, pr.conn)
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -61,7 +61,7 @@
 func (d *discovery) run(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(d.relay.seed, 0xd15c))
 	for moved := false; ; moved = true {
-		a := machine.NewAgent(d.address, d.relay.settings, moved, rng)
+		a := machine.NewAgent(d.address, d.relay.settings.Load(), moved, rng)
 		t := &http.Transport{Proxy: nil, DisableCompression: true, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2,
 			DialContext: (&net.Dialer{Timeout: machine.Lagging}).DialContext}
 		follow, leave := context.WithCancel(ctx)
--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -80,7 +80,7 @@
 	case opened:
 		f.m.TurnedAway()
 		f.relay.log.Warn("turned away: near the limit of descriptors or memory")
-		f.end(f.relay.busyLine)
+		f.end(f.relay.busyLine())
 		f.relay.lobby.readOff(g)
 		return
 	case err == nil:
@@ -108,6 +108,7 @@
 		if err != nil {
 			return false, f.m.HelloEnded(endOf(err), seen)
 		}
+		f.m.Under(f.relay.settings.Load())
 		g, err := f.m.Hello(f.relay.now(), b, f.relay.node.Ready())
 		switch {
 		case err != nil:
--- a/internal/relay/lobby.go
+++ b/internal/relay/lobby.go
@@ -84,6 +84,13 @@
 	return l.m.Guests()
 }
 
+// farewell changes what one that gives way is told.
+func (l *lobby) farewell(line string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.goodbye = []byte(line)
+}
+
 // resize changes the budget.
 func (l *lobby) resize(room int) {
 	l.mu.Lock()
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -11,6 +11,7 @@
 
 	"aspenbarrow/balance"
 	"aspenbarrow/internal/machine"
+	"aspenbarrow/internal/settings"
 )
 
 // post hands an event to the loop. It may wait for the loop, never the reverse.
@@ -96,6 +97,12 @@
 func (h host) Ready()                          { close(h.listed) }
 func (h host) Left()                           { close(h.left) }
 
+func (h host) Settings(s *settings.Settings) {
+	h.settings.Store(s)
+	h.lobby.farewell(h.busyLine())
+	h.probes.under(s)
+}
+
 func (h host) Limits(s machine.Shares) {
 	h.room.Store(int64(s.Flows))
 	h.lobby.resize(s.Guests)
--- a/internal/relay/probes.go
+++ b/internal/relay/probes.go
@@ -17,6 +17,7 @@
 
 	"aspenbarrow/balance"
 	"aspenbarrow/internal/machine"
+	"aspenbarrow/internal/settings"
 )
 
 type probes struct {
@@ -31,7 +32,7 @@
 }
 
 func newProbes(r *Relay, atOnce int) *probes {
-	return &probes{relay: r, m: machine.NewProbes(r.settings, atOnce)}
+	return &probes{relay: r, m: machine.NewProbes(r.settings.Load(), atOnce)}
 }
 
 // start probes a backend in the background; the module hears one answer.
@@ -79,7 +80,7 @@
 		case step.Done:
 			return pr.Report
 		case step.Dial:
-			d := net.Dialer{Timeout: p.relay.settings.DialTimeout, KeepAlive: -1}
+			d := net.Dialer{Timeout: p.relay.settings.Load().DialTimeout, KeepAlive: -1}
 			conn, err := d.Dial("tcp", pr.Addr)
 			step = p.locked(func(now time.Duration) machine.ProbeStep {
 				if err != nil {
@@ -135,6 +136,12 @@
 	}
 }
 
+func (p *probes) under(s *settings.Settings) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.m.Under(s)
+}
+
 func (p *probes) resize(room int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,8 +26,8 @@
 
 // Relay is one running relay.
 type Relay struct {
-	settings  *settings.Settings
-	started   Config // what it was told at its start
+	settings  atomic.Pointer[settings.Settings] // in force
+	started   Config                            // what it was told at its start
 	seed      uint64
 	log       *zap.Logger
 	start     time.Time
@@ -35,7 +35,6 @@
 	events    chan func(now time.Duration)
 	stopped   chan struct{}
 	left      chan struct{} // closed by the loop once nothing is owed any more
-	busyLine  string
 	listener  *net.TCPListener
 	flowing   atomic.Int64 // flows that hold descriptors now
 	room      atomic.Int64 // and how many may
@@ -62,14 +61,15 @@
 // New checks a configuration and prepares a relay. Nothing listens yet.
 func New(cfg Config, log *zap.Logger) (*Relay, error) {
 	s := cfg.Settings
-	r := &Relay{settings: &s, started: cfg, seed: cfg.Seed, log: log, start: time.Now(), events: make(chan func(time.Duration), 1024),
-		stopped: make(chan struct{}), left: make(chan struct{}), busyLine: machine.BusyAnswer(machine.HoldOff(&s)),
+	r := &Relay{started: cfg, seed: cfg.Seed, log: log, start: time.Now(), events: make(chan func(time.Duration), 1024),
+		stopped: make(chan struct{}), left: make(chan struct{}),
 		flows: map[uint64]*flow{}, drains: make(chan struct{}, 1), listed: make(chan struct{}), unpark: make(chan struct{}, 1),
 		parked: make(chan struct{}, 1)}
+	r.settings.Store(&s)
 	r.born = time.Duration(r.start.UnixNano())
 	shares := machine.Deal(descriptors(cfg.Sockets), cfg.MemoryMB, cfg.Management != "")
 	r.room.Store(int64(shares.Flows))
-	r.lobby = newLobby(shares.Guests, r.busyLine, r.now)
+	r.lobby = newLobby(shares.Guests, r.busyLine(), r.now)
 	r.discovery = newDiscovery(cfg.Discovery, r)
 	r.probes = newProbes(r, shares.Probes)
 	r.peers = newPeers(cfg, r)
@@ -77,7 +77,7 @@
 	if r.node, err = machine.NewNode(r.now(), cfg, host{r}, log); err != nil {
 		return nil, err
 	}
-	r.settings = r.node.Settings()
+	r.settings.Store(r.node.Settings())
 	r.node.SetSockets(descriptors(cfg.Sockets))
 	if r.listener, err = r.listen(cfg); err != nil {
 		return nil, err
@@ -138,6 +138,9 @@
 	}
 }
 
+// busyLine is how somebody is refused without the module: the relay is full, or leaves.
+func (r *Relay) busyLine() string { return machine.BusyAnswer(machine.HoldOff(r.settings.Load())) }
+
 // Reloaded counts a file that was read again, taken or not.
 func (r *Relay) Reloaded(ok bool) { r.node.Ledger().Reloaded(ok) }
 
@@ -252,7 +255,7 @@
 		}
 		_ = conn.SetDeadline(time.Now().Add(machine.FirstLine))
 		r.seq++
-		f := &flow{relay: r, client: newLine(conn), m: machine.NewFlow(r.seq, r.settings, r.node.Ledger()),
+		f := &flow{relay: r, client: newLine(conn), m: machine.NewFlow(r.seq, r.settings.Load(), r.node.Ledger()),
 			orders: make(chan machine.Order, 16), left: make(chan bool, 1), stands: make(chan struct{}),
 			over: make(chan struct{})}
 		g := r.lobby.enter(conn)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -109,7 +109,7 @@
 		t.Fatal(err)
 	}
 	_ = r.listener.Close()
-	f := machine.NewFlow(1, r.settings, r.node.Ledger())
+	f := machine.NewFlow(1, r.settings.Load(), r.node.Ledger())
 	g, err := f.Hello(r.now(), []byte("OPEN 0000000000000001 0000000000000002 c=chat,d=1000\r\n"), true)
 	if err != nil || !g.Opened {
 		t.Fatalf("%+v, %v", g, err)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -177,6 +177,21 @@
 	return &t.routes[best]
 }
 
+// Renumber is the table for classes that have other numbers: classes holds the new one of each.
+func (t *Table) Renumber(classes []int) *Table {
+	if t == nil {
+		return nil
+	}
+	routes := slices.Clone(t.routes)
+	for i := range routes {
+		if m := &routes[i].Match; m.Class != Any {
+			m.Class = classes[m.Class]
+		}
+	}
+	other, _ := New(routes) // what hides what is the same as before
+	return other
+}
+
 // Equal says whether two tables hold the same routes.
 func (t *Table) Equal(o *Table) bool {
 	if t == nil || o == nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -169,6 +169,46 @@
 	return out, nil
 }
 
+// What a deadline and a number of attempts are at most: what lies beyond is a slip of the pen.
+const (
+	longestMS    = 24 * 60 * 60 * 1000.0
+	mostAttempts = 1 << 16
+)
+
+// Sound holds a settings object that is to replace another to more than a relay could run by: each class has a name of
+// its own, deadlines and attempts are numbers above 0 that can be meant, and where classes have further figures by
+// their order there is one for each.
+func Sound(text []byte) error {
+	var in info
+	if err := json.Unmarshal(text, &in); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	names := map[string]bool{}
+	for i, c := range in.Classes {
+		switch {
+		case c.Name == "" || names[c.Name]:
+			return fmt.Errorf("settings: class %d has no name of its own: %q", i, c.Name)
+		case !(c.GiveUp > 0 && c.GiveUp <= longestMS):
+			return fmt.Errorf("settings: class %q: give-up-ms %v is no time above 0 that can be meant", c.Name, c.GiveUp)
+		case !(c.OnTime > 0 && c.OnTime <= longestMS):
+			return fmt.Errorf("settings: class %q: on-time-ms %v is no time above 0 that can be meant", c.Name, c.OnTime)
+		case effects[c.Effect] == balance.Keyed && !(c.Window > 0 && c.Window <= longestMS):
+			return fmt.Errorf("settings: class %q: dedup-window-ms %v is no time above 0 that can be meant", c.Name, c.Window)
+		}
+		names[c.Name] = true
+	}
+	if n := in.Limits.TryLimit; n < 1 || n > mostAttempts {
+		return fmt.Errorf("settings: limits: try-limit %d is no number of attempts above 0 that can be meant", n)
+	}
+	if d := in.Limits.DialTimeout; !(d > 0 && d <= longestMS) {
+		return fmt.Errorf("settings: limits: dial-timeout-ms %v is no time above 0 that can be meant", d)
+	}
+	if n := len(in.Family.MessageAim); n > 0 && n < len(in.Classes) {
+		return fmt.Errorf("settings: family-info: message-aim-ms has %d entries for %d classes", n, len(in.Classes))
+	}
+	return nil
+}
+
 // Field is the field of a load report that has a name; FieldOther if none has.
 func Field(name string) balance.Field { return fields[name] }
 
--- a/internal/world/relay.go
+++ b/internal/world/relay.go
@@ -17,6 +17,7 @@
 
 	"aspenbarrow/balance"
 	"aspenbarrow/internal/machine"
+	"aspenbarrow/internal/settings"
 )
 
 var errNotUp = errors.New("refused, or not up in time")
@@ -134,6 +135,8 @@
 func (r *relay) Bad(uint64, error) {}
 func (r *relay) Ready()            {}
 
+func (r *relay) Settings(s *settings.Settings) { r.probes.Under(s) }
+
 func (r *relay) Release(id balance.BackendID) {
 	if c := r.probes.Drop(id); c != nil {
 		c.(*end).close()
@@ -400,6 +403,7 @@
 			}
 			return
 		}
+		f.m.Under(f.r.node.Settings())
 		g, err := f.m.Hello(f.r.w.now, f.c.in, f.r.node.Ready() || f.r.run.broken(BreakYes))
 		switch {
 		case err != nil:
