--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -90,9 +90,55 @@
 	toldAt time.Duration              // when the list last changed
 	list   map[string]string          // it, as it stands
 	seen   Seen
+	rules  terms         // by which requests are taken
+	were   terms         // until the last reload that changed them
+	turned time.Duration // when that was
 	drain  time.Duration // when it was told to send clients away; 0: it was not
 }
 
+// terms are a relay's own part of the rules, which a reload may change.
+type terms struct {
+	classes  []Class
+	attempts int
+}
+
+func (t *terms) class(name string) *Class {
+	for i := range t.classes {
+		if t.classes[i].Name == name {
+			return &t.classes[i]
+		}
+	}
+	return nil
+}
+
+// Retuned says that a relay is told of other classes and attempts. What was taken before keeps the old ones; what
+// comes within a while may be under either.
+func (c *Checker) Retuned(relay int, classes []Class, attempts int) {
+	r := &c.relays[relay]
+	r.were, r.rules, r.turned = r.rules, terms{classes, attempts}, c.now()
+}
+
+// turning is how long after a reload a request may be under the old rules or the new.
+const turning = 1200 * time.Millisecond
+
+// taken finds the terms of a request that comes now: its class, nil if there is none, and its attempts.
+func (r *relayState) taken(name string, now time.Duration) (*Class, int) {
+	class, attempts := r.rules.class(name), r.rules.attempts
+	if r.turned == 0 || now-r.turned > turning {
+		return class, attempts
+	}
+	attempts = max(attempts, r.were.attempts)
+	switch was := r.were.class(name); {
+	case class == nil:
+		class = was
+	case was != nil && *was != *class: // what either allows
+		either := *class
+		either.Effect, either.GiveUp, either.OnTime = Safe, max(was.GiveUp, class.GiveUp), max(was.OnTime, class.OnTime)
+		class = &either
+	}
+	return class, attempts
+}
+
 // Seen is what an onlooker counted of a relay since its process started.
 type Seen struct {
 	Success, Overload, Error map[string]int // final answers by class
@@ -173,6 +219,7 @@
 	c := &Checker{rules: rules, now: now, epoch: now(), in: in, Counts: map[string]int{}, requests: map[string]*request{},
 		receipts: map[string]*Backend{}, relays: make([]relayState, relays)}
 	for i := range c.relays {
+		c.relays[i].rules = terms{rules.Classes, rules.Attempts}
 		c.relays[i].has, c.relays[i].out = map[string]map[string]mark{}, map[string]time.Duration{}
 	}
 	return c
@@ -297,6 +344,7 @@
 type request struct {
 	id       string
 	class    *Class
+	most     int // attempts
 	relay    int
 	client   *Client
 	at       time.Duration // when it was whole
@@ -408,11 +456,7 @@
 			names[name] = true
 			switch name {
 			case "c":
-				for i := range c.rules.Classes {
-					if c.rules.Classes[i].Name == value {
-						r.class = &c.rules.Classes[i]
-					}
-				}
+				r.class, r.most = c.relays[x.relay].taken(value, c.now())
 			case "d":
 				if ms, err := strconv.Atoi(value); err == nil {
 					patience = time.Duration(ms) * time.Millisecond
@@ -629,7 +673,7 @@
 	c.Counts["attempt"]++
 	c.relays[b.relay].seen.Attempts++
 	c.Counts["attempt "+r.class.Name]++
-	most := c.rules.Attempts
+	most := r.most
 	if n := r.class.Attempts; n > 0 {
 		most = min(most, n)
 	}
--- a/internal/world/faults.go
+++ b/internal/world/faults.go
@@ -7,6 +7,8 @@
 import (
 	"slices"
 	"time"
+
+	"aspenbarrow/balance"
 )
 
 // Fault is one trouble of a run.
@@ -49,6 +51,23 @@
 		run.reload(r, true, r.cfg.Sockets, r.cfg.MemoryMB)
 		return nil
 	}},
+	{"settings change", func(run *run, f Fault) func() {
+		if run.opt.Fleet != nil || len(run.relays[0].cfg.Settings.Classes) > len(run.set.Classes) { // one at a time
+			return nil
+		}
+		effect := []balance.Effect{balance.Safe, balance.Unsafe}[f.Who%2]
+		run.plain = false
+		run.retune(true, effect, 1+int(f.Much*4))
+		return func() {
+			run.plain = true
+			for i, c := range run.clients {
+				if c.class == len(run.classes)-1 {
+					c.class = i % len(run.set.Classes)
+				}
+			}
+			run.w.in(newClass, func() { run.retune(false, 0, 0) })
+		}
+	}},
 	{"relay drained", func(run *run, f Fault) func() {
 		r := run.relays[f.Who%len(run.relays)]
 		run.drain(r, true)
--- a/internal/world/relay.go
+++ b/internal/world/relay.go
@@ -937,6 +937,16 @@
 		if err := r.node.Reload(now, r.sabotaged(cfg), cfg.Sockets); err != nil {
 			panic(fmt.Sprintf("a sound configuration is not taken: %v", err))
 		}
+		if r.run.broken(BreakOldRules) {
+			s := r.node.Settings().Settings
+			s.Classes = slices.Clone(s.Classes)
+			for i := range s.Classes {
+				if i >= len(r.run.set.Classes) { // it came with a reload
+					s.Classes[i].Effect = balance.Safe
+				}
+			}
+			r.node.Balancer().Retune(s)
+		}
 		r.reloads++
 		r.node.Ledger().Reloaded(true)
 	})
--- a/internal/world/run.go
+++ b/internal/world/run.go
@@ -102,6 +102,7 @@
 	slow     float64 // of everything that all backends share
 	regular  float64 // connections that a backend holds when all is well
 	closing  bool
+	plain    bool // clients keep to the first classes
 	pool     *emulator.Pool
 	poolAt   time.Duration
 	turns    map[uint64]func()
@@ -204,6 +205,9 @@
 func (run *run) settle() {
 	rng := run.w.rng
 	run.classes = []class{{"watch", 2 * time.Second, 1}, {"fetch", 1800 * time.Millisecond, 2}, {"submit", 3 * time.Second, 5}}
+	if run.opt.Fleet == nil {
+		run.classes = append(run.classes, class{"extra", 1500 * time.Millisecond, 3}) // only while the settings have it
+	}
 	run.served = make([]int, len(run.classes))
 	s := settings.Settings{ClassNames: []string{"watch", "fetch", "submit"}, ZoneNames: zones, KindNames: []string{"k"},
 		FieldNames: []string{"x0"}, IdleClose: 5 * time.Second}
@@ -245,6 +249,15 @@
 // rules are what the checker holds, from the settings and what sockets are allowed.
 func (run *run) rules() checker.Rules {
 	const allowed = 50 * time.Millisecond
+	s := &run.set
+	return checker.Rules{Classes: run.classRules(), Attempts: 4, Slack: s.AnswerSlack + allowed, Grace: s.DrainGrace + allowed, ToldBy: 6 * time.Second,
+		Held: time.Second + allowed, Silent: 7*time.Second + allowed, FirstLine: 2*time.Second + s.AnswerSlack + allowed,
+		ColdFrom: s.ColdFrom, WarmUp: s.WarmUp, FallTimes: s.FallMultiple, FallSpan: s.FallSpan,
+		Opens: run.opens()}
+}
+
+// classRules are the classes as the checker holds them.
+func (run *run) classRules() []checker.Class {
 	s := &run.set
 	classes := []checker.Class{{Name: "watch", GiveUp: 2 * time.Second, Effect: checker.Safe},
 		{Name: "fetch", GiveUp: 1800 * time.Millisecond, Effect: checker.Keyed, Cell: true, Window: 3 * time.Second},
@@ -255,12 +268,49 @@
 			classes[i].Attempts, classes[i].Total = run.opt.Timings[i].Attempts, run.opt.Timings[i].Total
 		}
 	}
-	return checker.Rules{Classes: classes, Attempts: 4, Slack: s.AnswerSlack + allowed, Grace: s.DrainGrace + allowed, ToldBy: 6 * time.Second,
-		Held: time.Second + allowed, Silent: 7*time.Second + allowed, FirstLine: 2*time.Second + s.AnswerSlack + allowed,
-		ColdFrom: s.ColdFrom, WarmUp: s.WarmUp, FallTimes: s.FallMultiple, FallSpan: s.FallSpan,
-		Opens: run.opens()}
+	return classes
 }
 
+// retune has all relays read settings with a class more, other effects of two of them and fewer attempts, or the first
+// ones again. Clients use the new class a while after it came, and no more a while before it goes.
+func (run *run) retune(on bool, effect balance.Effect, attempts int) {
+	classes, set := run.classRules(), run.set
+	if on {
+		effects := map[balance.Effect]int{balance.Safe: checker.Safe, balance.Unsafe: checker.Unsafe}
+		set.ClassNames = append([]string{"extra"}, set.ClassNames...)
+		set.Classes = append([]balance.Class{{OnTime: 400 * time.Millisecond, GiveUp: 1500 * time.Millisecond,
+			MessageAim: 60 * time.Millisecond, Effect: effect, Worth: 3}}, set.Classes...)
+		set.Classes[1].Effect, set.Classes[3].Effect = balance.Unsafe, balance.Safe
+		set.TryLimit = attempts
+		classes[0].Effect, classes[2].Effect = checker.Unsafe, checker.Safe
+		classes = append(classes, checker.Class{Name: "extra", GiveUp: 1500 * time.Millisecond, Effect: effects[effect],
+			OnTime: 400 * time.Millisecond})
+	}
+	run.count("settings changed")
+	for _, r := range run.relays {
+		s := set
+		s.Me, s.Relays, s.Zone = r.cfg.Settings.Me, r.cfg.Settings.Relays, r.cfg.Settings.Zone
+		r.cfg.Settings, r.cfg.Routes = s, run.routes()
+		if on && r.cfg.Routes != nil { // the file's classes stand in another order
+			r.cfg.Routes = r.cfg.Routes.Renumber([]int{1, 2, 3})
+		}
+		run.check.Retuned(r.number, classes, set.TryLimit)
+		if r.up {
+			r.reload(r.cfg)
+		}
+	}
+	run.w.in(newClass, func() {
+		for i, c := range run.clients {
+			if on && i%3 == 0 && !run.plain {
+				c.class = len(run.classes) - 1
+			}
+		}
+	})
+}
+
+// newClass is how long after a reload clients use a new class.
+const newClass = 1200 * time.Millisecond
+
 func (run *run) addBackend() {
 	id := len(run.backends)
 	b := &backend{run: run, id: id, name: fmt.Sprintf("s-%02d", id), zone: id % 2,
--- a/internal/world/sabotage.go
+++ b/internal/world/sabotage.go
@@ -37,6 +37,7 @@
 	BreakCountGone    Break = "count-gone"    // a client that left while it waited stays counted
 	BreakCountAttempt Break = "count-attempt" // one attempt in fifty is not counted
 	BreakDrain        Break = "drain-holds"   // a drained relay moves nobody
+	BreakOldRules     Break = "old-rules"     // the effects that a reload brings are not looked at
 	BreakYes          Break = "drain-yes"     // and goes on saying yes
 )
 
@@ -64,6 +65,7 @@
 	BreakCountAttempt: {"figures"},
 	BreakDrain:        {"drained"},
 	BreakYes:          {"drained"},
+	BreakOldRules:     {"unsafe-repeat"},
 }
 
 func (run *run) broken(b Break) bool { return run.opt.Break == b }
