--- a/balance/balance.go
+++ b/balance/balance.go
@@ -610,6 +610,9 @@
 	if b.set.PassThrough {
 		return
 	}
+	if at > 0 && b.leaves > 0 {
+		at = min(at, b.leaves) // a drained relay that is to stop as well puts nothing off
+	}
 	b.leaves = at
 	if at > 0 && !b.stepping {
 		b.stepping = true
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -965,6 +965,9 @@
 	r.clear()
 	b.Leave(2*sec, 4*sec)
 	first := total(leaving(b, r, 2*sec, 2500*ms))
+	if b.Leave(2500*ms, 9*sec); b.leaves != 4*sec { // seed 1193: SIGTERM within a drain put its end off
+		t.Errorf("a drain until 4 s ends at %v", b.leaves)
+	}
 	b.Leave(2500*ms, 0)
 	b.Leave(2500*ms, 5*sec)
 	b.Leave(2500*ms, 0)
--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -79,6 +79,7 @@
 
 type relayState struct {
 	life   int
+	proc   int // counts processes: an upgrade brings another, and the relay is the same
 	upAt   time.Duration
 	up     bool
 	agent  string
@@ -154,11 +155,11 @@
 	r := &c.relays[relay]
 	s := r.seen
 	for _, x := range c.clients {
-		if x.relay != relay || !x.live() || x.req == nil || x.req.class == nil || x.answered && x.pair == nil {
+		if x.relay != relay || x.proc != r.proc || !x.live() || x.req == nil || x.req.class == nil || x.answered && x.pair == nil {
 			continue
 		}
 		s.Open++
-		if x.ended == 0 && (x.pair == nil || x.pair.ended == 0) && !x.odd {
+		if x.ended == 0 && x.pair != nil && x.pair.ended == 0 && !x.odd { // before UP it may wait to be taken
 			s.Standing++
 		}
 	}
@@ -252,12 +253,25 @@
 	r.life++
 	r.up, r.upAt, r.agent, r.since, r.told, r.starts = true, c.now(), agent, c.now(), map[string]mark{}, map[string]time.Duration{}
 	r.toldAt, r.drain, r.list = c.now(), 0, maps.Clone(known)
-	r.seen = Seen{Success: map[string]int{}, Overload: map[string]int{}, Error: map[string]int{}}
+	r.seen = newSeen()
+	r.proc++
 	for name, state := range known {
 		r.told[name] = mark{state, c.now()}
 	}
 }
 
+// Upgraded says that another process of a relay takes those who come. To the rules the two are one relay; the
+// figures are the new one's own, of what comes to it.
+func (c *Checker) Upgraded(relay int) {
+	r := &c.relays[relay]
+	r.proc++
+	r.seen = newSeen()
+}
+
+func newSeen() Seen {
+	return Seen{Success: map[string]int{}, Overload: map[string]int{}, Error: map[string]int{}}
+}
+
 // RelayDown says that a relay's process has ended or its machine has vanished.
 func (c *Checker) RelayDown(relay int) { c.relays[relay].up = false }
 
@@ -377,6 +391,7 @@
 	id        int
 	relay     int
 	life      int
+	proc      int
 	came      time.Duration
 	sent      lines // of the client
 	got       lines // by the client
@@ -402,9 +417,12 @@
 	n  int
 }
 
-// Client watches a connection that a relay has accepted.
-func (c *Checker) Client(id, relay int) *Client {
-	x := &Client{c: c, id: id, relay: relay, life: c.relays[relay].life, came: c.now()}
+// Process is the number of a relay's newest process.
+func (c *Checker) Process(relay int) int { return c.relays[relay].proc }
+
+// Client watches a connection that a process of a relay has accepted.
+func (c *Checker) Client(id, relay, process int) *Client {
+	x := &Client{c: c, id: id, relay: relay, life: c.relays[relay].life, proc: process, came: c.now()}
 	c.clients = append(c.clients, x)
 	c.in(c.rules.FirstLine, func() {
 		if !x.spoken && !x.answered && !x.told && x.pings == 0 && x.live() && x.ended == 0 {
@@ -484,7 +502,7 @@
 // counted takes in a final answer for the figures.
 func (x *Client) counted(word string) {
 	r := &x.c.relays[x.relay]
-	if x.req == nil || x.req.class == nil || r.life != x.life {
+	if x.req == nil || x.req.class == nil || r.life != x.life || r.proc != x.proc {
 		return
 	}
 	switch name := x.req.class.Name; {
@@ -503,7 +521,7 @@
 func (x *Client) GotEnd(how int32) {
 	if x.ended == 0 {
 		x.endedAt = x.c.now()
-		if r := &x.c.relays[x.relay]; !x.answered && r.life == x.life {
+		if r := &x.c.relays[x.relay]; !x.answered && r.life == x.life && r.proc == x.proc {
 			r.seen.Loose++
 		}
 	}
@@ -671,7 +689,9 @@
 	}
 	b.req = r
 	c.Counts["attempt"]++
-	c.relays[b.relay].seen.Attempts++
+	if s := &c.relays[b.relay]; r.client.proc == s.proc {
+		s.seen.Attempts++
+	}
 	c.Counts["attempt "+r.class.Name]++
 	most := r.most
 	if n := r.class.Attempts; n > 0 {
--- a/internal/world/client.go
+++ b/internal/world/client.go
@@ -23,6 +23,7 @@
 // look asks a relay with PING until it answers, and from then on whether it still does.
 func (fr *front) look(r *relay) {
 	w := fr.run.w
+	r = fr.run.relays[r.number] // the process that takes who comes
 	again := func(after time.Duration) { w.in(after, func() { fr.look(r) }) }
 	if fr.good[r.number] {
 		if !r.up || r.leaving {
@@ -73,6 +74,7 @@
 
 // yes holds a relay that takes clients again to saying so within two seconds.
 func (run *run) yes(r *relay) {
+	r = run.relays[r.number]
 	life := r.life
 	run.w.in(drainedNoMore, func() {
 		if r.life != life || !r.up || r.leaving || r.node.Drained() || run.closing {
--- a/internal/world/faults.go
+++ b/internal/world/faults.go
@@ -68,6 +68,13 @@
 			run.w.in(newClass, func() { run.retune(false, 0, 0) })
 		}
 	}},
+	{"relay upgraded", func(run *run, f Fault) func() {
+		for i := range 1 + int(f.Much*3) { // perhaps another right after, or one after the other
+			number := (f.Who + i/2) % len(run.relays)
+			run.w.in(time.Duration(i)*(4*time.Second+f.For/8), func() { run.upgrade(run.relays[number], f.For/10) })
+		}
+		return nil
+	}},
 	{"relay drained", func(run *run, f Fault) func() {
 		r := run.relays[f.Who%len(run.relays)]
 		run.drain(r, true)
--- a/internal/world/relay.go
+++ b/internal/world/relay.go
@@ -42,6 +42,9 @@
 	talking  bool // a call to the agent is out, or the pause after one
 	leaving  bool
 	few      bool    // it has few descriptors from the start
+	process  int     // its number, as the checker counts
+	old      *relay  // the process before this one, while it runs
+	heir     *relay  // the process after this one
 	reloads  int     // files that this process took
 	refusals int     // and turned down
 	last     []entry // what discovery has told, as its configuration will say it
@@ -54,6 +57,7 @@
 	r.cfg.Seed = w.rng.Uint64()
 	r.flows, r.queue, r.flowing, r.seq, r.leaving = map[uint64]*flow{}, nil, 0, 0, false
 	r.reloads, r.refusals = 0, 0
+	r.process = r.run.check.Process(r.number)
 	r.postAt, r.timerAt, r.agent = w.now, 0, nil
 	shares := machine.Deal(r.cfg.Sockets, r.cfg.MemoryMB, r.cfg.Management != "")
 	r.room = shares.Flows
@@ -169,6 +173,11 @@
 		c.closeWrite()
 	}
 	r.kill() // what it still holds breaks; the checker counts that as cut off
+	if r.heir != nil {
+		r.run.count("old process left")
+		r.succeeded()
+		return
+	}
 	r.run.check.RelayDown(r.number)
 	r.run.count("relay left")
 }
@@ -322,7 +331,7 @@
 // --- clients ---------------------------------------------------------------------
 
 func (r *relay) accepted(e *end) {
-	e.tap = clientTap{r.run.check.Client(e.id, r.number)}
+	e.tap = clientTap{r.run.check.Client(e.id, r.number, r.process)}
 	r.queue = append(r.queue, e)
 	if len(r.queue) == 1 {
 		r.admitNext()
@@ -952,6 +961,76 @@
 	})
 }
 
+// --- upgrades --------------------------------------------------------------------
+
+// upgrade starts another process of a relay beside this one, as package relay does: it takes over what the old one
+// remembers and who comes, and the old one leaves a while later.
+func (run *run) upgrade(r *relay, after time.Duration) {
+	if !r.up || r.leaving || r.old != nil || run.closing {
+		return
+	}
+	run.count("relay upgraded")
+	w := run.w
+	text, err := r.node.Bequeath(w.now)
+	if err != nil {
+		panic(fmt.Sprintf("a relay has nothing to hand over: %v", err))
+	}
+	n := &relay{box: w.box(r.name, ""), run: run, number: r.number, cfg: r.cfg, few: r.few, last: r.last, old: r}
+	n.accept = n.accepted
+	if len(n.last) > 0 {
+		n.cfg.Known = body(1, true, n.last)
+	}
+	run.check.Upgraded(r.number)
+	n.boot()
+	if err := n.node.Inherit(w.now, text); err != nil {
+		panic(fmt.Sprintf("what a relay hands over is not taken: %v", err))
+	}
+	n.node.SetSockets(n.cfg.Sockets)
+	run.relays[r.number], r.heir = n, n
+	r.node.SetReplaced(true)
+	r.tell()
+	w.in(after, r.alive(func() {
+		r.leaving = true
+		if run.broken(BreakHandOver) {
+			r.kill()
+			r.succeeded()
+			return
+		}
+		r.post(r.node.Leave)
+		w.in(3700*time.Millisecond, r.alive(func() {
+			r.kill()
+			r.succeeded()
+		}))
+	}))
+}
+
+// tell has the next process hear what this one holds and sees.
+func (r *relay) tell() {
+	n := r.heir
+	text, err := r.node.Seen()
+	if err != nil {
+		panic(err)
+	}
+	held := min(len(r.ends)+machine.OwnSockets, r.cfg.Sockets-machine.OwnSockets)
+	n.post(func(now time.Duration) {
+		n.node.Elsewhere(now, held)
+		_ = n.node.Beside(now, text)
+	})
+	r.w.in(100*time.Millisecond, r.alive(r.tell))
+}
+
+// succeeded says that this process is gone, and the next one alone.
+func (r *relay) succeeded() {
+	n := r.heir
+	n.old = nil
+	if n.up {
+		n.post(func(now time.Duration) {
+			n.node.Elsewhere(now, 0)
+			_ = n.node.Beside(now, nil)
+		})
+	}
+}
+
 // peerAddr is where a relay hears datagrams.
 func peerAddr(number int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 3, 0, byte(number)}), 7946)
@@ -961,7 +1040,7 @@
 func (run *run) datagram(from *relay, to string, data []byte) {
 	w := run.w
 	for _, r := range run.relays {
-		if r == from || to != peersAll && to != peerAddr(r.number).String() {
+		if r.number == from.number || to != peersAll && to != peerAddr(r.number).String() {
 			continue
 		}
 		copies := 1
--- a/internal/world/run.go
+++ b/internal/world/run.go
@@ -402,6 +402,14 @@
 		return
 	}
 	run.check.RelayDown(r.number)
+	if o := r.old; o != nil && o.up { // it is the same machine's
+		r.old = nil
+		if vanish {
+			o.vanish()
+		} else {
+			o.kill()
+		}
+	}
 	if vanish {
 		r.vanish()
 	} else {
@@ -468,6 +476,14 @@
 
 // drain has a relay send its clients away, or take them again.
 func (run *run) drain(r *relay, on bool) {
+	r = run.relays[r.number]          // there may have been an upgrade since
+	if o := r.old; o != nil && o.up { // what is told to one process is told to both
+		o.node.SetDrained(on)
+		o.soon(func() {
+			o.node.Drain(run.w.now)
+			o.tick()
+		})
+	}
 	if !r.up {
 		return
 	}
--- a/internal/world/sabotage.go
+++ b/internal/world/sabotage.go
@@ -38,6 +38,7 @@
 	BreakCountAttempt Break = "count-attempt" // one attempt in fifty is not counted
 	BreakDrain        Break = "drain-holds"   // a drained relay moves nobody
 	BreakOldRules     Break = "old-rules"     // the effects that a reload brings are not looked at
+	BreakHandOver     Break = "hand-over"     // the old process of an upgrade cuts off whom it has
 	BreakYes          Break = "drain-yes"     // and goes on saying yes
 )
 
@@ -65,6 +66,7 @@
 	BreakCountAttempt: {"figures"},
 	BreakDrain:        {"drained"},
 	BreakYes:          {"drained"},
+	BreakHandOver:     {"cut-off", "no-answer"},
 	BreakOldRules:     {"unsafe-repeat"},
 }
 
