--- a/internal/machine/machine_test.go
+++ b/internal/machine/machine_test.go
@@ -477,6 +477,14 @@
 			at(0, true)
 			n.Leave(time.Second)
 		}, [2]int{40, 40}, false},
+		{"SIGHUP in the same moment", func(n *Node, at func(time.Duration, bool)) {
+			at(0, true)
+			next := n.Config()
+			next.Discovery, next.Settings.TryLimit = "d:9", 1
+			if err := n.Reload(time.Second, next, 256); err != nil {
+				t.Error(err)
+			}
+		}, [2]int{40, 40}, false},
 		{"called off while it leaves", func(n *Node, at func(time.Duration, bool)) {
 			n.Leave(time.Second)
 			at(0, true)
