--- a/internal/world/relay.go
+++ b/internal/world/relay.go
@@ -652,7 +652,8 @@
 			return
 		}
 		t.asking = true
-		if !r.run.broken(BreakCountAttempt) || r.w.rng.IntN(50) != 0 {
+		lost := r.run.broken(BreakCountAttempt) && r.w.rng.IntN(50) == 0 || r.run.broken(BreakCountLeaving) && r.leaving
+		if !lost {
 			t.a.Sent()
 		}
 		e.wake = t.heard
@@ -957,7 +958,9 @@
 			r.node.Balancer().Retune(s)
 		}
 		r.reloads++
-		r.node.Ledger().Reloaded(true)
+		if !r.run.broken(BreakCountReload) {
+			r.node.Ledger().Reloaded(true)
+		}
 	})
 }
 
--- a/internal/world/sabotage.go
+++ b/internal/world/sabotage.go
@@ -36,6 +36,8 @@
 	BreakCountLobby   Break = "count-lobby"   // who is turned away for want of room is not counted
 	BreakCountGone    Break = "count-gone"    // a client that left while it waited stays counted
 	BreakCountAttempt Break = "count-attempt" // one attempt in fifty is not counted
+	BreakCountReload  Break = "count-reload"  // a file that is taken is not counted
+	BreakCountLeaving Break = "count-leaving" // a leaving relay counts no attempts
 	BreakDrain        Break = "drain-holds"   // a drained relay moves nobody
 	BreakOldRules     Break = "old-rules"     // the effects that a reload brings are not looked at
 	BreakHandOver     Break = "hand-over"     // the old process of an upgrade cuts off whom it has
@@ -64,6 +66,8 @@
 	BreakCountLobby:   {"figures"},
 	BreakCountGone:    {"figures"},
 	BreakCountAttempt: {"figures"},
+	BreakCountReload:  {"figures"},
+	BreakCountLeaving: {"figures"},
 	BreakDrain:        {"drained"},
 	BreakYes:          {"drained"},
 	BreakHandOver:     {"cut-off", "no-answer"},
