A diverted flow is remembered by its class's name, so reloads and upgrades keep it

Seen on reading the change again: newCall hashed what a diversion is remembered under from the class's number. Since settings are taken at SIGHUP a changed class has another number, and a next process numbers classes afresh; packets of a connection diverted before then went to its home, where they are reset. Ruled out: the hashing home itself, which knows no class. The name is hashed now where settings are read, and told with the class.

--- a/balance/api.go
+++ b/balance/api.go
@@ -60,7 +60,8 @@
 	Scope      Scope
 	Window     time.Duration // how long repeats of a keyed request are discarded
 	Worth      float64
-	Gone       bool // dropped from the settings: only requests taken before have it
+	Name       uint64 // the same for all classes of one name, whatever their numbers; 0: not told
+	Gone       bool   // dropped from the settings: only requests taken before have it
 }
 
 // Timing says how long a request may take and how often it is tried. It never
--- a/balance/books.go
+++ b/balance/books.go
@@ -198,7 +198,11 @@
 	}
 	c.flow = c.key
 	if !c.grouped {
-		c.flow = mix(c.key ^ uint64(r.Class))
+		name := b.set.Classes[r.Class].Name // a number may be another after a reload, and in a next process
+		if name == 0 {
+			name = uint64(r.Class)
+		}
+		c.flow = mix(c.key ^ name)
 	}
 	b.calls[r.ID] = c
 	return c
--- a/balance/memory_test.go
+++ b/balance/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"slices"
 	"testing"
 	"time"
 )
@@ -75,6 +76,27 @@
 	}
 }
 
+// Packets of a diverted connection find its server after its class has another number, by a reload or in a next process.
+func TestADiversionOutlastsItsClassesNumber(t *testing.T) {
+	s := settings()
+	s.PassThrough, s.Classes[0].Name = true, 0xc0ffee
+	b, r := start(t, s, 6)
+	home := sent(t, b, r, sec, Request{ID: 1, Key: 5})
+	other := b.servers[home%6+1]
+	b.remember(sec, b.calls[1], other)
+	changed := s
+	changed.Classes = append(slices.Clone(s.Classes), Class{OnTime: 400 * ms, GiveUp: sec, Effect: Unsafe, Name: 0xc0ffee})
+	b.Retune(changed)
+	if to := sent(t, b, r, sec, Request{ID: 2, Key: 5, Class: 5, MidFlow: true}); to != other.ID {
+		t.Errorf("after a reload they go to %d, not to %d", to, other.ID)
+	}
+	changed.Classes = []Class{s.Classes[1], s.Classes[0]}
+	n, nr := heir(t, changed, 6, sec, b.Memory())
+	if to := sent(t, n, nr, sec, Request{ID: 3, Key: 5, Class: 1, MidFlow: true}); to != other.ID {
+		t.Errorf("in a next process they go to %d, not to %d", to, other.ID)
+	}
+}
+
 func TestAMemoryThatCannotBeTrueIsNotBelieved(t *testing.T) {
 	now := 100 * sec
 	n, _ := heir(t, settings(), 2, now, Memory{Servers: []ServerMemory{
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -259,7 +259,7 @@
 			r.fault(key+".on-time", "%v is over %s.give-up, %v", c.OnTime, key, c.GiveUp)
 		}
 		s.ClassNames = append(s.ClassNames, c.Name)
-		s.Classes = append(s.Classes, balance.Class{OnTime: c.OnTime, GiveUp: c.GiveUp, MessageAim: c.MessageAim,
+		s.Classes = append(s.Classes, balance.Class{Name: settings.NameOf(c.Name), OnTime: c.OnTime, GiveUp: c.GiveUp, MessageAim: c.MessageAim,
 			Effect: effects[c.Effect], Scope: scopes[c.Scope], Window: c.Window, Worth: c.Worth})
 	}
 	share := 0.0
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
+	"io"
 	"math"
 	"time"
 
@@ -143,7 +145,7 @@
 		if !ok && effect == balance.Keyed {
 			return Settings{}, fmt.Errorf("settings: class %d has unknown scope %q", i, c.Scope)
 		}
-		class := balance.Class{OnTime: Duration(c.OnTime), GiveUp: Duration(c.GiveUp), Effect: effect,
+		class := balance.Class{Name: NameOf(c.Name), OnTime: Duration(c.OnTime), GiveUp: Duration(c.GiveUp), Effect: effect,
 			Scope: scope, Window: Duration(c.Window), Worth: c.Worth}
 		if i < len(in.Family.MessageAim) {
 			class.MessageAim = Duration(in.Family.MessageAim[i])
@@ -209,6 +211,13 @@
 	return nil
 }
 
+// NameOf is the number by which the module knows a class's name.
+func NameOf(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, name)
+	return h.Sum64()
+}
+
 // Field is the field of a load report that has a name; FieldOther if none has.
 func Field(name string) balance.Field { return fields[name] }
 
