Attempts are spaced out while set-ups fail or are slow at one server after another

Set-up latency went from 20 to 198, 658 and 1,042 ms before the first error: one queue that all wait for, the session store. What it serves is given up already, so it never gets free. Lines at fault: Outcome and try in balance/balance.go, which send each request at once whatever became of the last ones, and try again elsewhere; budget caps at one attempt a server for each of 260 relays. Change: two failed or slow set-ups at different servers in a row halve this relay's pace, at most once a round; quick ones raise it. What is not its turn is refused at once with a time to come back.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,6 +26,7 @@
 	portion    = 16               // or such a part of the fleet while it has room
 	askers     = 8                // one relay in so many asks a given server while a report is old
 	shunning   = 4                // how much likelier than it was late a kind is passed by
+	longestGap = 16 * beat        // attempts are spaced out no further, so that what ends is noticed
 	step       = beat / 10        // the rhythm of moves off a relay that stops or is drained
 	tickToken  = 1 << 63          // timers: upkeep,
 	leaveToken = tickToken + 1    // and those moves; any other token is a request's deadline
@@ -209,7 +210,7 @@
 	for s != nil && b.shun(s, c) {
 		s = b.place(now, c)
 	}
-	if s == nil || b.overShare(c) { // past what all bear: more would sink those they hold
+	if s == nil || b.overShare(c) || now < b.due { // past what all bear: more would sink those they hold
 		b.answer(now, c)
 		return
 	}
@@ -219,6 +220,7 @@
 	c.tried[min(c.tries, len(c.tried)-1)] = s
 	c.tries++
 	c.sent = now
+	b.spaced(now)
 	b.attach(c, s)
 	if b.warmth(now, s) < 1 {
 		s.budget--
@@ -396,6 +398,7 @@
 	if c := b.calls[o.ID]; c != nil && c.at != nil && o.Attempt == c.tries-1 {
 		c.began = true
 		b.judge(now, c.at, OK)
+		b.shared(now, c, o.Latency > b.set.Classes[c.Class].OnTime/2)
 	}
 }
 
@@ -415,6 +418,9 @@
 		}
 		b.overload(now, s, keep)
 	}
+	if !c.began && (o.Status == Error || o.Status == Timeout) {
+		b.shared(now, c, true)
+	}
 	b.detach(c)
 	if !stray && (!c.began || o.Status == Reset && !b.set.TellsDelay) { // without notes drops tell first
 		b.judge(now, s, o.Status)
@@ -425,7 +431,7 @@
 	switch {
 	case c.done || o.Closed || c.began:
 		b.finish(c)
-	case c.tries >= b.tryLimit(c) || now+b.set.Tick >= c.deadline || b.budget < 1:
+	case c.tries >= b.tryLimit(c) || now+b.set.Tick >= c.deadline || b.budget < 1 || now < b.due:
 		b.answer(now, c)
 	default:
 		b.budget--
@@ -520,6 +526,36 @@
 	}
 }
 
+// shared takes in how a set-up went and spaces out this relay's attempts, as TCP spaces segments, while set-ups fail
+// or are slow at one server after another: what they all wait for is shared then, and attempts at the usual pace
+// would keep it jammed for good. Each slow one halves the pace, once a round; each quick one raises it again.
+func (b *Balancer) shared(now time.Duration, c *call, slow bool) {
+	last := b.sick
+	if b.sick = c.at; !slow {
+		b.sick = nil
+		if c.sent >= b.cut {
+			b.gap = b.gap * 2 / 3
+		}
+		if 2*b.gap < b.pace { // it holds nobody up any more
+			b.gap, b.due = 0, 0
+		}
+		return
+	}
+	if last == nil || last == c.at || c.sent < b.cut {
+		return
+	}
+	b.gap, b.cut = min(2*max(b.gap, b.pace), longestGap), now
+	b.due = now + time.Duration((0.5+b.rng.Float64())*float64(b.gap))
+}
+
+// spaced takes in that an attempt goes out.
+func (b *Balancer) spaced(now time.Duration) {
+	b.pace += (min(now-b.spacedAt, longestGap) - b.pace) / 8
+	if b.spacedAt = now; b.gap > 0 {
+		b.due = now + time.Duration((0.5+b.rng.Float64())*float64(b.gap))
+	}
+}
+
 // room says whether a server that has shown overload can bear the connection.
 func (b *Balancer) room(s *server, c *call) bool {
 	return s.limit == 0 || s.n == 0 && s.also == 0 || b.own(&s.sums)+b.loadOf(c) <= s.limit
--- a/balance/books.go
+++ b/balance/books.go
@@ -163,6 +163,12 @@
 	leaves   time.Duration // by when no connection is to be here; 0: they may stay
 	stepping bool          // the timer of moves off this relay is set
 	list     listState
+	sick     *server       // where the last set-up failed or was slow; nil: it was quick
+	pace     time.Duration // what usually lies between two attempts
+	spacedAt time.Duration // when the last one went out
+	gap      time.Duration // what has to lie between two; 0: nothing
+	due      time.Duration // when the next one may go out
+	cut      time.Duration // when gap grew last
 	lost     time.Duration // when a ready server last ceased to be; 0: never
 	kinds    map[int]*kind
 	crowd    float64 // how full servers said to be of late; 1 where none says
