Without probes no server that was late gets a first connection, and groups stay at home

Checks: every event logged and counted by second. In each second moved clients come back through other relays, which have nothing at the late server: room lets a first connection in whatever the limit. Lines at fault: room exempts servers without connections, meant for those that a probe asks first; overflow takes crowd, which stays 1 where no report tells, for both states of the fleet. Change: the exemption only where probes are allowed; without reports a group stays at home while half of this relay's servers, two at least, were late within four seconds.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,6 +26,7 @@
 	portion    = 16               // or such a part of the fleet while it has room
 	askers     = 8                // one relay in so many asks a given server while a report is old
 	shunning   = 4                // how much likelier than it was late a kind is passed by
+	lateSpan   = 4 * beat         // a server counts as late for so long
 	longestGap = 16 * beat        // attempts are spaced out no further, so that what ends is noticed
 	step       = beat / 10        // the rhythm of moves off a relay that stops or is drained
 	tickToken  = 1 << 63          // timers: upkeep,
@@ -129,12 +130,26 @@
 			ahead++
 		}
 	}
+	if b.share < 0 && ahead > 0 && b.lateFleet(now) { // no report tells of idle ones
+		return nil
+	}
 	if ahead >= spread && (b.set.TellsDelay && ahead >= len(b.ready)/portion || b.crowd > headroom) {
 		return nil
 	}
 	return next
 }
 
+// lateFleet says whether half of the servers that this relay has connections on were late of late.
+func (b *Balancer) lateFleet(now time.Duration) bool {
+	late := 0
+	for _, s := range b.busy {
+		if s.limit > 0 && now-s.hot < lateSpan {
+			late++
+		}
+	}
+	return late > 1 && 2*late >= len(b.busy) // one alone may be at fault itself
+}
+
 // first is the ready server with the highest rendezvous score of those that pass.
 func (b *Balancer) first(key uint64, pass func(*server) bool) *server {
 	var first *server
@@ -526,9 +541,9 @@
 	}
 }
 
-// shared takes in how a set-up went and spaces out this relay's attempts, as TCP spaces segments, while set-ups fail
-// or are slow at one server after another: what they all wait for is shared then, and attempts at the usual pace
-// would keep it jammed for good. Each slow one halves the pace, once a round; each quick one raises it again.
+// shared takes in how a set-up went and spaces out this relay's attempts, as TCP spaces segments, while set-ups
+// fail or are slow at one server after another: what they all wait for is shared then, and attempts at the usual
+// pace would keep it jammed for good. A slow one halves the pace, once a round; each quick one raises it again.
 func (b *Balancer) shared(now time.Duration, c *call, slow bool) {
 	last := b.sick
 	if b.sick = c.at; !slow {
@@ -556,9 +571,10 @@
 	}
 }
 
-// room says whether a server that has shown overload can bear the connection.
+// room says whether a server that has shown overload can bear the connection. Where it may be asked first,
+// one that this relay has nothing on always can: else each of many relays would send it one more.
 func (b *Balancer) room(s *server, c *call) bool {
-	return s.limit == 0 || s.n == 0 && s.also == 0 || b.own(&s.sums)+b.loadOf(c) <= s.limit
+	return s.limit == 0 || b.set.Probes && s.n == 0 && s.also == 0 || b.own(&s.sums)+b.loadOf(c) <= s.limit
 }
 
 // overload lowers what a server is held to bear to a part of its T. One that drops
--- a/balance/shape_test.go
+++ b/balance/shape_test.go
@@ -82,3 +82,40 @@
 		t.Errorf("attempts are spaced out by %v", b.gap)
 	}
 }
+
+// Of many relays each sent a server that was late one connection more, as it had none there itself, and the server
+// stayed late. A server that can be asked first is, and tells.
+func TestAServerShortOfRoomGetsNoFirstConnectionUnasked(t *testing.T) {
+	b, r := start(t, settings(), 2)
+	home := sent(t, b, r, sec, Request{ID: 1, Key: 1})
+	b.Began(sec, Outcome{ID: 1})
+	b.Note(2*sec, 1, NoteDelay, 200)
+	b.Outcome(2*sec, Outcome{ID: 1, Backend: home, Status: Cancelled, Closed: true})
+	if to := sent(t, b, r, 3*sec, Request{ID: 2, Key: 1}); to == home {
+		t.Error("went to a server that was late a second ago")
+	}
+}
+
+// Groups that spread while nearly all servers were late cost each of them three connections' worth, and nothing
+// was served in time. Without reports only this relay's own servers tell.
+func TestAGroupStaysAtHomeWhileHalfOfTheServersAreLate(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		s := settings()
+		s.Groups = true
+		b, r := start(t, s, 12)
+		for id := uint64(1); id <= 8; id++ {
+			sent(t, b, r, sec, Request{ID: id, Key: id, Group: 100 + id})
+			b.Began(sec, Outcome{ID: id})
+		}
+		for id := uint64(1); late && id <= 8; id++ {
+			b.Note(2*sec, id, NoteDelay, 60)
+		}
+		r.clear()
+		q := Request{ID: 99, Key: 99, Group: 99, Left: 2 * sec}
+		b.first(mix(q.Group), func(*server) bool { return true }).until = 60 * sec
+		b.Request(3*sec, q)
+		if got := len(r.take("send")) == 1; got == late {
+			t.Errorf("half of the servers late: %v; the group went past its home: %v", late, got)
+		}
+	}
+}
