Without reports limits are halved at most and grow slowly only near what a server bore

Checks: connections, late servers, moves and refusals counted by second, and load by server: after the first cuts (pile of a second: to a tenth, by every relay) limits creep back by a tenth a second and meet the next cut at some six tenths of what the servers bore. Lines at fault: Note, which takes the pile into the cut though no report claims room, and recover, which grows by a tenth wherever the limit stands. Change: where no report tells, a cut leaves half at least; limits grow by a tenth up to eight tenths of the T that a server had when it became late, then by a fiftieth for eight seconds.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -474,7 +474,9 @@
 		// worked off, which a server that is nearly full never does: what stays leaves room for it in a beat.
 		keep := max(0.5, 1-0.05*v/b.quickest) // the later, the less it bears
 		pile := v / float64(beat/time.Millisecond)
-		if c.at.limit == 0 || c.at.full < headroom || 1-pile < keep {
+		if b.share < 0 { // all relays hear of the pile and each cuts: the more there are, the less is left
+			b.overload(now, c.at, max(0.5, min(keep, 1-pile)))
+		} else if c.at.limit == 0 || c.at.full < headroom || 1-pile < keep {
 			b.overload(now, c.at, max(0.1, min(keep, 1-pile)))
 		}
 	}
@@ -583,8 +585,11 @@
 	if s.n == 0 || now-s.hot < beat && s.limit > 0 {
 		return
 	}
-	s.hot = now
 	t := b.own(&s.sums)
+	if s.limit == 0 || now-s.hot > 2*beat {
+		s.bears = t
+	}
+	s.hot = now
 	if s.limit > 0 {
 		t = min(t, s.limit)
 	}
@@ -641,7 +646,12 @@
 			conns = probeConns
 		}
 		if now-s.hot >= 2*beat {
-			s.limit *= 1.1
+			// Soon back near what it bore; from there it feels its way, for a while.
+			if s.limit < 0.8*s.bears || now-s.hot > 8*beat || b.share >= 0 {
+				s.limit *= 1.1
+			} else {
+				s.limit *= 1.02
+			}
 		}
 		// The answer sets the limit. From each of many relays a probe a second would cost too much.
 		if b.set.Probes && b.share >= 0 && b.rng.Float64()*conns < float64(s.n) {
--- a/balance/books.go
+++ b/balance/books.go
@@ -33,6 +33,7 @@
 	until   time.Duration // suspended until then
 	bench   time.Duration // how long the next suspension lasts
 	limit   float64       // overload: the T that this server is seen to bear; 0: none seen
+	bears   float64       // overload: the T that it had when that began
 	full    float64       // its last report's load over capacity; 0: none
 	heard   time.Duration // when it last answered a probe, or was given up on
 	busy    bool          // stands in the list of that name
@@ -451,6 +452,7 @@
 	for i, t := range were {
 		if s := b.busy[i]; t > 0 {
 			s.limit *= b.own(&s.sums) / t
+			s.bears *= b.own(&s.sums) / t
 		}
 	}
 }
--- a/balance/shape_test.go
+++ b/balance/shape_test.go
@@ -119,3 +119,25 @@
 		}
 	}
 }
+
+// Cut to a tenth by every relay at once, servers that were a little over stood half empty for the next half minute,
+// while a quarter of all requests were refused. Where no report will lift the limit, half goes at most, most of it
+// is back soon, and the rest is felt for.
+func TestALimitIsSoonBackNearWhatAServerBore(t *testing.T) {
+	s := settings()
+	s.Groups = true
+	b, r := start(t, s, 6)
+	loaded(t, b, r, 1, 20, 7)
+	at := b.calls[1].at
+	bore := b.own(&at.sums)
+	b.Note(2*sec, 1, NoteDelay, 5000)
+	if at.limit < 0.49*bore {
+		t.Errorf("%.0f of %.0f are left", at.limit, bore)
+	}
+	for now := 3 * sec; now <= 9*sec; now += sec {
+		b.Timer(now, tickToken)
+	}
+	if at.limit < 0.8*bore || at.limit > 0.95*bore {
+		t.Errorf("after seven seconds the limit is %.0f of %.0f", at.limit, bore)
+	}
+}
