--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,6 +26,7 @@
 	portion    = 16               // or such a part of the fleet while it has room
 	askers     = 8                // one relay in so many asks a given server while a report is old
 	shunning   = 4                // how much likelier than it was late a kind is passed by
+	shunned    = 2                // so many servers are passed by where they can be asked first
 	lateSpan   = 4 * beat         // a server counts as late for so long
 	longestGap = 16 * beat        // attempts are spaced out no further, so that what ends is noticed
 	step       = beat / 10        // the rhythm of moves off a relay that stops or is drained
@@ -313,11 +314,15 @@
 	}
 }
 
-// shun says whether a returning client passes by a server that this relay hears nothing of: by chance, the
-// likelier the more often its kind was late. Every relay would send it home in turn, to be moved off again.
+// shun says whether a returning client passes by a server that this relay hears nothing of: by chance, the likelier
+// the more often its kind was late. Every relay would send it home in turn, to be moved off again. Where none can
+// be asked first the chance is twice that, at all the servers that a group goes to.
 func (b *Balancer) shun(s *server, c *call) bool {
-	if !c.Back || c.MidFlow || s.n > 0 || c.shuns == len(c.shunned) ||
-		b.rng.Float64() >= shunning*b.kindOf(s).lateness() {
+	chance, most := shunning*b.kindOf(s).lateness(), shunned
+	if !b.set.Probes {
+		chance, most = 2*chance, len(c.shunned)
+	}
+	if !c.Back || c.MidFlow || s.n > 0 || c.shuns >= most || b.rng.Float64() >= chance {
 		return false
 	}
 	c.shunned[c.shuns] = s
--- a/balance/books.go
+++ b/balance/books.go
@@ -63,9 +63,9 @@
 	moved     bool
 	grouped   bool
 	asks      int
-	again     time.Duration // backing off until then; 0: not
-	cut       bool          // cancelled to make way for a second copy
-	shunned   [2]*server    // passed by, though nothing speaks against them but their kind
+	again     time.Duration   // backing off until then; 0: not
+	cut       bool            // cancelled to make way for a second copy
+	shunned   [spread]*server // passed by, though nothing speaks against them but their kind
 	shuns     int
 	asked     *server // held until this one has answered a probe
 	began     bool
--- a/balance/shape_test.go
+++ b/balance/shape_test.go
@@ -141,3 +141,24 @@
 		t.Errorf("after seven seconds the limit is %.0f of %.0f", at.limit, bore)
 	}
 }
+
+// A moved client came back through another relay, which knew nothing of the server that it had left and sent it
+// there again: half of what was moved on busy days. With no probe to ask first, the kind alone warns.
+func TestAReturningClientPassesAllHomesOfAWeakKindBy(t *testing.T) {
+	passed := func(probes bool) (most int) {
+		s := settings()
+		s.Probes = probes
+		for seed := uint64(1); seed <= 60; seed++ {
+			r := &recorder{}
+			b := New(sec, seed, s, r)
+			b.List(sec, ListCached, fleet(12))
+			b.kinds[0] = &kind{late: 95, seconds: 95}
+			b.Request(2*sec, Request{ID: 1, Key: seed, Left: sec, Back: true})
+			most = max(most, b.calls[1].shuns)
+		}
+		return most
+	}
+	if with, without := passed(true), passed(false); with != 2 || without != 3 {
+		t.Errorf("passed by %d servers where they can be asked, %d where not; want 2 and 3", with, without)
+	}
+}
