Watching before a switch: the module under another shape's settings decides in vain

Operators want to see what the settings of a deployment without probes would do before they switch. The same module runs beside the one that decides, hears the same events, and its actions end nowhere; after each decision its books take what was really done (Follow), so a difference is counted once. Kinds: another server, sent, refused, again, ended, held, moved, left, avoided, back; WATCH at the second address and a log line every ten seconds. A fault of that half ends it and touches no request. Off by default.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -549,11 +549,12 @@
 }
 
 // shared takes in how a set-up went and spaces out this relay's attempts, as TCP spaces segments, while set-ups
-// fail or are slow at one server after another: what they all wait for is shared then, and attempts at the usual
-// pace would keep it jammed for good. A slow one halves the pace, once a round; each quick one raises it again.
+// of one request after another fail or are slow at different servers: what they all wait for is shared then, and
+// attempts at the usual pace would keep it jammed for good. A slow one halves the pace, once a round; each quick
+// one raises it again. A request that fails everywhere may itself be the cause.
 func (b *Balancer) shared(now time.Duration, c *call, slow bool) {
-	last := b.sick
-	if b.sick = c.at; !slow {
+	last, of := b.sick, b.sickOf
+	if b.sick, b.sickOf = c.at, c.ID; !slow {
 		b.sick = nil
 		if c.sent >= b.cut {
 			b.gap = b.gap * 2 / 3
@@ -563,7 +564,7 @@
 		}
 		return
 	}
-	if last == nil || last == c.at || c.sent < b.cut {
+	if last == nil || last == c.at || of == c.ID || c.sent < b.cut {
 		return
 	}
 	b.gap, b.cut = min(2*max(b.gap, b.pace), longestGap), now
--- a/balance/books.go
+++ b/balance/books.go
@@ -165,6 +165,7 @@
 	stepping bool          // the timer of moves off this relay is set
 	list     listState
 	sick     *server       // where the last set-up failed or was slow; nil: it was quick
+	sickOf   uint64        // and of which request
 	pace     time.Duration // what usually lies between two attempts
 	spacedAt time.Duration // when the last one went out
 	gap      time.Duration // what has to lie between two; 0: nothing
@@ -489,14 +490,45 @@
 // Avoided is how many servers the list holds, and how many of them get nothing new now: draining,
 // suspended or held to be full.
 func (b *Balancer) Avoided(now time.Duration) (listed, avoided int) {
-	for _, s := range b.servers {
+	for id, s := range b.servers {
 		if s.State == StateGone {
 			continue
 		}
 		listed++
-		if s.State == StateDraining || s.until > now || s.limit > 0 && s.n > 0 && b.own(&s.sums) >= s.limit {
+		if b.Avoids(now, id) {
 			avoided++
 		}
 	}
 	return listed, avoided
 }
+
+// Avoids says whether a server gets nothing new now.
+func (b *Balancer) Avoids(now time.Duration, id BackendID) bool {
+	s := b.servers[id]
+	return s != nil && s.State != StateGone &&
+		(s.State == StateDraining || s.until > now || s.limit > 0 && s.n > 0 && b.own(&s.sums) >= s.limit)
+}
+
+// Follow takes over what another than this module decided for a request: attempt number so much went to a server,
+// or, with sent false, it got its final answer. Nothing is sent.
+func (b *Balancer) Follow(now time.Duration, r Request, attempt int, to BackendID, sent bool) {
+	c, s := b.calls[r.ID], b.servers[to]
+	if c != nil {
+		if c.at != nil {
+			b.detach(c)
+		}
+		b.held = slices.DeleteFunc(b.held, func(h *call) bool { return h == c })
+	}
+	if !sent || s == nil {
+		if c != nil {
+			b.finish(c)
+		}
+		return
+	}
+	if c == nil {
+		c = b.newCall(now, r)
+	}
+	c.asked, c.again, c.sent, c.tries, c.done = nil, 0, now, attempt+1, false
+	c.tried[min(attempt, len(c.tried)-1)] = s
+	b.attach(c, s)
+}
--- a/balance/shape_test.go
+++ b/balance/shape_test.go
@@ -162,3 +162,18 @@
 		t.Errorf("passed by %d servers where they can be asked, %d where not; want 2 and 3", with, without)
 	}
 }
+
+// A request that fails at one server after the other may be the cause itself, and has all its attempts.
+func TestARequestsOwnFailuresSpaceNothingOut(t *testing.T) {
+	b, r := start(t, settings(), 12)
+	flood(b, r, new(time.Duration), new(uint64), 30, 10*ms, func(BackendID) Status { return OK })
+	r.clear()
+	b.Request(sec, Request{ID: 99, Key: 99, Left: 2 * sec})
+	for n := range 4 {
+		got := r.take("send")
+		if len(got) != n+1 {
+			t.Fatalf("%d attempts after %d failures", len(got), n)
+		}
+		b.Outcome(sec+10*ms, Outcome{ID: 99, Attempt: n, Backend: got[n].to, Status: Error})
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -78,6 +78,7 @@
 		PeersAll   string          `json:"peers_all"`
 		Known      json.RawMessage `json:"known"`
 		Settings   json.RawMessage `json:"settings"`
+		Watch      json.RawMessage `json:"watch"` // settings in the same form, of which the shape is watched
 	}
 	if err := json.Unmarshal(text, &in); err != nil {
 		return Config{}, fmt.Errorf("%s: %w", path, err)
@@ -106,9 +107,21 @@
 	if string(in.Known) == "null" {
 		in.Known = nil
 	}
+	var shape *machine.Shape
+	if len(in.Watch) > 0 && string(in.Watch) != "null" {
+		w, err := settings.Parse(in.Watch)
+		if err != nil {
+			return Config{}, fmt.Errorf("watch: %w", err)
+		}
+		if w.Peers && in.PeerListen == "" {
+			return Config{}, errors.New("watch: relays would tell one another, and peer_listen is missing")
+		}
+		shape = &machine.Shape{Probes: w.Probes, Peers: w.Peers, Groups: w.Groups, RetryAfter: w.RetryAfter, Report: w.Report,
+			Weights: w.Weights}
+	}
 	return Config{Cores: in.Limits.Cores, text: text, Relay: machine.Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery,
 		Seed: seed, MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, PeerListen: in.PeerListen, Peers: in.Peers,
-		PeersAll: in.PeersAll, Known: in.Known, Settings: s, Management: in.Management, Scratch: env("TMPDIR")}}, nil
+		PeersAll: in.PeersAll, Known: in.Known, Settings: s, Management: in.Management, Watch: shape, Scratch: env("TMPDIR")}}, nil
 }
 
 // Parse reads a TOML text.
@@ -185,9 +198,32 @@
 		Discovery: f.Discovery.Address, Seed: seed, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
 		PeerListen: f.Peers.Listen, Peers: f.Peers.Addresses, PeersAll: f.Peers.All, Settings: s, Management: f.Relay.Management}}
 	c.Relay.Routes = f.routes(r, &s, rules)
+	c.Relay.Watch = f.shape(r)
 	return c
 }
 
+// shape is what is to be watched; nil: nothing.
+func (f *file) shape(r *reader) *machine.Shape {
+	w := &f.Watch
+	if !w.On {
+		return nil
+	}
+	if w.Peers && f.Peers.Listen == "" {
+		r.fault("watch.peers", "relays would tell one another, and peers.listen is missing")
+	}
+	if len(w.Report) > 0 && !w.Probes {
+		r.fault("watch.report", "load reports come with answers to probes, and watch.probes says that there are none")
+	}
+	s := &machine.Shape{Probes: w.Probes, Peers: w.Peers, Groups: w.Groups, RetryAfter: w.RetryAfter, Weights: weights[w.Weights]}
+	if len(w.Report) > 0 && !slices.Equal(w.Report, f.Rules.Report) {
+		r.fault("watch.report", "reports come in the form of rules.report, %q: watch that or none", f.Rules.Report)
+	}
+	for _, name := range w.Report {
+		s.Report = append(s.Report, settings.Field(name))
+	}
+	return s
+}
+
 // settings are the installation's rules and classes.
 func (f *file) settings(r *reader) settings.Settings {
 	u := &f.Rules
@@ -214,7 +250,7 @@
 		grace = f.Relay.DrainGrace
 	}
 	s.Settings = balance.Settings{Me: f.Relay.Number, Relays: max(1, f.Relay.Relays), Zone: max(0, zone), Tick: u.Tick,
-		OverShareWorth: u.OverShare, Groups: u.Groups, PassThrough: u.PassThrough, TellsLoad: u.TellsLoad, Probes: u.Probes,
+		OverShareWorth: u.OverShare, Groups: u.Groups, PassThrough: u.PassThrough, TellsLoad: u.TellsLoad, TellsDelay: u.TellsDelay, Probes: u.Probes,
 		Peers: u.Peers, Cancel: u.Cancel, RetryAfter: u.RetryAfter, TryLimit: u.MaxAttempts, MaxRetryAfter: u.MaxRetryAfter,
 		DialTimeout: u.Connect, ListOnRequest: f.Discovery.Mode == "on-request", AskEvery: f.Discovery.Ask,
 		AnswerSlack: u.AnswerSlack, DrainGrace: grace, ColdFrom: u.ColdFrom, WarmUp: u.WarmUp, FallMultiple: u.FallTimes,
@@ -236,6 +272,12 @@
 	for _, name := range u.Report {
 		s.Report = append(s.Report, settings.Field(name))
 	}
+	if u.TellsLoad && u.TellsDelay {
+		r.fault("rules.tells-delay", "a LOAD line carries one thing: rules.tells-load says that it is the connection's load")
+	}
+	if !u.Probes { // reports come with answers to probes: held to be told, they would be waited for in vain
+		s.Report, s.FieldNames = nil, nil
+	}
 	if len(f.Classes) == 0 {
 		r.fault("class", "is missing: a relay needs one class at least")
 	}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -13,6 +13,7 @@
 	Limits    limitsSection    `toml:"limits" doc:"What the process may use. 0 leaves a limit to the system."`
 	Discovery discoverySection `toml:"discovery" doc:"Where the list of backends comes from."`
 	Peers     peersSection     `toml:"peers" doc:"The other relays, told of slow servers by datagrams."`
+	Watch     watchSection     `toml:"watch" doc:"Another shape of deployment: the module decides under it in vain, and what would differ is counted."`
 	Log       logSection       `toml:"log" doc:"What is logged, as JSON lines on standard error."`
 	Rules     rulesSection     `toml:"rules" doc:"The installation's rules and what it allows. The same on every relay."`
 	Classes   []classSection   `toml:"class" doc:"Kinds of request, in the order that OPEN lines and reports know."`
@@ -24,7 +25,7 @@
 type relaySection struct {
 	Name       string        `toml:"name" default:"n0" doc:"Its name, the same after a restart."`
 	Listen     string        `toml:"listen" required:"" example:"127.0.0.1:5000" doc:"Where clients connect."`
-	Management string        `toml:"management" example:"127.0.0.1:9000" doc:"The second address, where staff ask READY and STATS and say DRAIN and UNDRAIN; empty: there is none."`
+	Management string        `toml:"management" example:"127.0.0.1:9000" doc:"The second address, where staff ask READY, STATS and WATCH and say DRAIN and UNDRAIN; empty: there is none."`
 	Number     int           `toml:"number" default:"0" doc:"Its number among the relays, from 0."`
 	Relays     int           `toml:"relays" default:"1" doc:"How many relays there are."`
 	Zone       string        `toml:"zone" doc:"Its zone, one of rules.zones; the first if not given."`
@@ -50,6 +51,16 @@
 	All       string   `toml:"all" doc:"An address that reaches all of them."`
 }
 
+type watchSection struct {
+	On         bool     `toml:"on" default:"false" doc:"Whether it is watched. Taken at the start of the process."`
+	Probes     bool     `toml:"probes" default:"false" doc:"As rules.probes would be."`
+	Peers      bool     `toml:"peers" default:"false" doc:"As rules.peers would be."`
+	Groups     bool     `toml:"groups" default:"false" doc:"As rules.groups would be."`
+	RetryAfter bool     `toml:"retry-after" default:"true" doc:"As rules.retry-after would be."`
+	Report     []string `toml:"report" doc:"As rules.report would be; empty: no reports come."`
+	Weights    string   `toml:"weights" default:"off" oneof:"off,nominal,rough,live" doc:"As rules.weights would be."`
+}
+
 type logSection struct {
 	Level string `toml:"level" default:"info" oneof:"debug,info,warn,error" doc:"The least that is logged."`
 }
@@ -71,7 +82,8 @@
 	PassThrough   bool          `toml:"pass-through" default:"false" doc:"Packets pass through: connections may arrive mid-flow."`
 	Groups        bool          `toml:"groups" default:"false" doc:"Connections of one group share work on a backend."`
 	TellsLoad     bool          `toml:"tells-load" default:"false" doc:"Backends tell a connection's load by LOAD lines."`
-	Report        []string      `toml:"report" default:"utilization,errors_per_s,x0" doc:"The fields of load reports, in order; empty: none are given."`
+	TellsDelay    bool          `toml:"tells-delay" default:"false" doc:"LOAD lines tell how many milliseconds a message takes at its backend."`
+	Report        []string      `toml:"report" default:"utilization,errors_per_s,x0" doc:"The fields of load reports, in order; empty: none are given. They come with answers to probes: without rules.probes none do."`
 	Weights       string        `toml:"weights" default:"nominal" oneof:"off,nominal,rough,live" doc:"What a weight in the list means."`
 	OverShare     float64       `toml:"over-share-worth" default:"1" doc:"What a request over its tenant's share is worth, from 0 to 1."`
 	ColdFrom      float64       `toml:"cold-from" default:"0.3" doc:"The share of its capacity that a fresh server has at least."`
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -18,7 +18,7 @@
 
 // mayLack are keys that a sound file may or may not have: the list as last known, and what only classes of some
 // effects have (settings.Sound asks for it where it is needed).
-var mayLack = map[string]bool{"known": true, "dedup-scope": true, "dedup-window-ms": true}
+var mayLack = map[string]bool{"known": true, "watch": true, "dedup-scope": true, "dedup-window-ms": true}
 
 // Replaces says whether a file, read again, may replace the one in force: it has all of its keys, each with a value of
 // its kind, and its deadlines and attempts are sound. A TOML file is held to its keys when it is read.
--- a/internal/config/reload_test.go
+++ b/internal/config/reload_test.go
@@ -5,6 +5,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"aspenbarrow/balance"
 )
 
 const platform = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","management":"","seed":"8c",
@@ -93,3 +95,59 @@
 		}
 	}
 }
+
+// The shape to watch comes from both forms, is held to what can be, and is off unless it is given.
+func TestTheShapeToWatch(t *testing.T) {
+	parse := func(add string) (Config, error) { return Parse("w.toml", []byte(sound+add), none, false) }
+	if c, err := parse(""); err != nil || c.Relay.Watch != nil {
+		t.Fatalf("%v, %v", c.Relay.Watch, err)
+	}
+	c, err := parse("[watch]\non = true\nweights = \"rough\"\n")
+	if w := c.Relay.Watch; err != nil || w == nil || w.Probes || len(w.Report) > 0 || !w.RetryAfter || w.Weights != balance.WeightsRough {
+		t.Errorf("%+v, %v", c.Relay.Watch, err)
+	}
+	for add, want := range map[string]string{
+		"[watch]\non = true\nreport = [\"x0\"]\n":                "w.toml:62:1: watch.report",
+		"[watch]\non = true\nprobes = true\nreport = [\"x0\"]\n": "watch that or none",
+		"[watch]\non = true\nweights = \"heavy\"\n":              "watch.weights",
+		"[watch]\nsettings = \"x\"\n":                            "watch.settings",
+	} {
+		if _, err := parse(add); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", add, err, want)
+		}
+	}
+	if _, err := Parse("w.toml", []byte(strings.Replace(sound, "peers = true", "peers = false", 1)+
+		"[watch]\non = true\npeers = true\n"), none, false); err != nil {
+		t.Errorf("peers that are heard already: %v", err)
+	}
+	of := func(watch string) (Config, error) {
+		path := filepath.Join(t.TempDir(), "c.json")
+		text := strings.Replace(platform, `"known":null,`, `"known":null,"watch":`+watch+`,`, 1)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return Read(path, none, false)
+	}
+	settings := platform[strings.Index(platform, `"settings":`)+len(`"settings":`) : len(platform)-1]
+	if c, err := of(settings); err != nil || c.Relay.Watch == nil || c.Relay.Watch.Probes {
+		t.Errorf("%+v, %v", c.Relay.Watch, err)
+	}
+	if _, err := of(strings.Replace(settings, `"limits":{`, `"limits":{"peers":true,`, 1)); err == nil || !strings.Contains(err.Error(), "peer_listen") {
+		t.Errorf("peers that nobody hears: %v", err)
+	}
+	if _, err := of(`{"azs":[]}`); err == nil || !strings.HasPrefix(err.Error(), "watch: ") {
+		t.Errorf("no classes: %v", err)
+	}
+}
+
+// Reports come with answers to probes. Where none are allowed, a relay that is held to be told would wait in vain.
+func TestWithoutProbesNoReportComes(t *testing.T) {
+	c, err := Parse("w.toml", []byte(strings.Replace(sound, "peers = true", "peers = true\nprobes = false\ntells-delay = true", 1)), none, false)
+	if s := c.Relay.Settings; err != nil || len(s.Report) > 0 || len(s.FieldNames) > 0 || !s.TellsDelay {
+		t.Errorf("%v, %v", s.Report, err)
+	}
+	if _, err := Parse("w.toml", []byte(strings.Replace(sound, "peers = true", "peers = true\ntells-load = true\ntells-delay = true", 1)), none, false); err == nil ||
+		!strings.Contains(err.Error(), "rules.tells-delay: a LOAD line carries one thing") {
+		t.Errorf("both kinds of note: %v", err)
+	}
+}
--- a/internal/machine/ledger.go
+++ b/internal/machine/ledger.go
@@ -26,6 +26,7 @@
 	disabled   atomic.Int64
 	taken      atomic.Int64
 	refused    atomic.Int64
+	watch      atomic.Pointer[watchBook] // nil: nothing is watched
 }
 
 // ClassFigures are those of one class.
@@ -45,6 +46,7 @@
 	TargetsDisabled int64          // of those, avoided now
 	ReloadSuccess   int64          // files taken over at SIGHUP
 	ReloadFailure   int64          // and turned down
+	Watch           *WatchFigures  // what other settings would have decided otherwise; nil: nothing is watched
 }
 
 // name has the ledger know classes by their numbers. Those that it knew keep their counts.
@@ -105,6 +107,9 @@
 	f.Dispatches, f.Concurrent = l.dispatches.Load(), l.concurrent.Load()
 	f.Targets, f.TargetsDisabled = l.targets.Load(), l.disabled.Load()
 	f.ReloadSuccess, f.ReloadFailure = l.taken.Load(), l.refused.Load()
+	if w := l.watch.Load(); w != nil {
+		f.Watch = w.read()
+	}
 	all := *l.classes.Load()
 	f.Classes = make([]ClassFigures, 0, len(all))
 	for i, t := range all {
--- a/internal/machine/node.go
+++ b/internal/machine/node.go
@@ -37,6 +37,7 @@
 	Settings   settings.Settings
 	Routes     *route.Table // nil: no request has a timing of its own
 	Management string       // the second address, for staff; empty: there is none
+	Watch      *Shape       // settings of another shape that decide in vain, to be watched before a switch; nil: none
 	Scratch    string       // a folder that the next version's process sees as well; empty: it starts as a fresh one
 
 	// Decide makes what decides; nil: the module, package balance. Another is for the
@@ -139,6 +140,7 @@
 	log      *zap.Logger
 	host     Host
 	balancer Decider
+	watch    *watch // nil: nothing is watched
 	born     time.Duration
 	now      time.Duration
 	flows    map[uint64]*call
@@ -178,20 +180,34 @@
 		return nil, err
 	}
 	n.meet(cfg.Peers)
-	if cfg.Decide != nil {
-		n.balancer = cfg.Decide(now, cfg.Seed, n.set.Settings, actions{n})
-	} else {
-		n.balancer = balance.New(now, cfg.Seed, n.set.Settings, actions{n})
-	}
+	n.decide(now)
 	if len(known.entries) > 0 {
 		n.Listed(now, known, balance.ListCached)
 	}
-	if cfg.Management != "" {
+	if cfg.Management != "" || n.watch != nil {
 		n.after(figureTimer, 0, 0)
 	}
 	return n, nil
 }
 
+// decide starts what decides and, where the configuration has it watched, what would decide otherwise.
+func (n *Node) decide(now time.Duration) {
+	cfg, do := &n.cfg, balance.Actions(actions{n})
+	w := &watch{node: n}
+	if cfg.Watch != nil {
+		do = seen{actions{n}, w}
+	}
+	if cfg.Decide != nil {
+		n.balancer = cfg.Decide(now, cfg.Seed, n.set.Settings, do)
+	} else {
+		n.balancer = balance.New(now, cfg.Seed, n.set.Settings, do)
+	}
+	if cfg.Watch != nil {
+		w.begin(now, n.balancer)
+		n.balancer, n.watch = w, w
+	}
+}
+
 // Ledger holds the figures. It may be read from any goroutine.
 func (n *Node) Ledger() *Ledger { return n.book }
 
@@ -292,6 +308,7 @@
 	endTimer          // leaving: the last answers are written
 	drainTimer        // drained: the front has surely noticed
 	figureTimer       // what the module avoids is to be published
+	watchTimer        // of what decides in vain
 )
 
 type timer struct {
@@ -359,7 +376,12 @@
 		}
 	case figureTimer:
 		n.book.listed(n.balancer.Avoided(n.now))
+		if n.watch != nil {
+			n.watch.sweep(n.now)
+		}
 		n.after(figureTimer, 0, figuresEvery)
+	case watchTimer:
+		n.watch.timer(n.now, t.token)
 	}
 }
 
@@ -462,14 +484,14 @@
 		name string
 		same bool
 	}{{"listen", cfg.Listen == was.Listen}, {"name", cfg.Name == was.Name},
-		{"management", cfg.Management == was.Management},
+		{"management", cfg.Management == was.Management}, {"watch", cfg.Watch.equal(was.Watch)},
 		{"peer_listen", cfg.PeerListen == was.PeerListen}, {"settings", sameLasting(&cfg.Settings, n.set)}} {
 		if !part.same {
 			later = append(later, part.name)
 		}
 	}
 	cfg.Name, cfg.Listen, cfg.PeerListen, cfg.Settings = was.Name, was.Listen, was.PeerListen, *n.set
-	cfg.Management, cfg.Scratch = was.Management, was.Scratch
+	cfg.Management, cfg.Scratch, cfg.Watch = was.Management, was.Scratch, was.Watch
 	n.cfg = cfg
 	n.log.Info("configuration read again", zap.Strings("taken", changed), zap.String("discovery", cfg.Discovery),
 		zap.Int("flows", shares.Flows))
--- a/internal/machine/retune_test.go
+++ b/internal/machine/retune_test.go
@@ -53,6 +53,9 @@
 	for seq := uint64(100); seq < 130; seq++ { // they earn further attempts
 		opensAs(t, n, seq, "look")
 	}
+	stands := func(seq uint64) { // or failures alone would space attempts out
+		n.Heard(time.Second, seq, Event{Kind: Stood, Outcome: balance.Outcome{ID: seq, Latency: time.Millisecond}})
+	}
 	look, act, gone := opensAs(t, n, 1, "look"), opensAs(t, n, 2, "act"), opensAs(t, n, 3, "look")
 	if err := n.Reload(time.Second, with(names, []balance.Class{class(balance.Unsafe), class(balance.Safe)}, 4), 256); err != nil {
 		t.Fatal(err)
@@ -66,12 +69,14 @@
 	if err := n.Reload(time.Second, with(names[1:], []balance.Class{class(balance.Safe)}, 4), 256); err != nil {
 		t.Fatal(err)
 	}
+	stands(100)
 	if o := fails(n, h, gone, time.Second); o.To == nil {
 		t.Errorf("a request of a dropped class is not sent again: %+v", o)
 	}
 	if _, err := NewFlow(9, n.Settings(), n.Ledger()).Hello(time.Second, []byte("OPEN 0000000000000009 0000000000000009 c=look,d=1000\r\n"), true); err == nil {
 		t.Error("a dropped class is still taken")
 	}
+	stands(101)
 	if o := fails(n, h, opensAs(t, n, 10, "act"), time.Second); o.To == nil && o.Answer == AnswerFailed {
 		t.Errorf("a request under the new rules, which may be repeated, has %+v", o)
 	}
--- /dev/null
+++ b/internal/machine/watch_test.go
@@ -0,0 +1,171 @@
+package machine
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"aspenbarrow/balance"
+)
+
+// watched is a configuration with a shape to watch, which differs from the one in force as change says.
+func watched(change func(*Shape)) Config {
+	cfg := with([]string{"chat"}, []balance.Class{class(balance.Safe)}, 3)
+	cfg.Settings.PassThrough, cfg.Settings.TellsDelay = false, true
+	cfg.Known = []byte(strings.ReplaceAll(three, `"weight":1}]`, `"weight":6}]`))
+	s := cfg.Settings.Settings
+	s.Weights = balance.WeightsNominal
+	cfg.Settings.Settings = s
+	if change != nil {
+		cfg.Watch = &Shape{Probes: s.Probes, Peers: s.Peers, Groups: s.Groups, RetryAfter: s.RetryAfter, Report: s.Report,
+			Weights: s.Weights}
+		change(cfg.Watch)
+	}
+	return cfg
+}
+
+// serve plays ten seconds with 400 clients, in which one backend fails set-ups, one is late for a while, and probes
+// are answered. It returns all that was done to the world.
+func serve(t *testing.T, cfg Config, during func(n *Node, at time.Duration)) (*Node, []string) {
+	t.Helper()
+	n, h := node(t, cfg)
+	var did []string
+	began, seen := map[uint64]bool{}, map[uint64]int{}
+	for step := 1; step <= 400; step++ {
+		now := time.Second + time.Duration(step)*25*time.Millisecond
+		n.Due(now)
+		if during != nil {
+			during(n, now)
+		}
+		seq := uint64(step)
+		n.Opened(now, greeted(t, n, seq, fmt.Sprintf("OPEN %016x %016x c=chat,d=3000\r\n", seq, seq*0x9e3779b97f4a7c15)))
+		for id := seq - min(seq-1, 40); id <= seq; id++ {
+			for orders := h.orders[id]; seen[id] < len(orders); orders = h.orders[id] {
+				o := orders[seen[id]]
+				seen[id]++
+				if o.To == nil {
+					did = append(did, fmt.Sprintf("%d %d %q", step, id, o.Answer))
+					continue
+				}
+				did = append(did, fmt.Sprintf("%d %d to %s", step, id, o.To.Name))
+				out := balance.Outcome{ID: id, Attempt: n.flows[id].sent - 1, Backend: o.To.ID, Latency: 5 * time.Millisecond}
+				if o.To.Name == "b" && id%3 == 0 {
+					out.Status = balance.Error
+					n.Heard(now, id, Event{Kind: AttemptEnded, Outcome: out})
+				} else {
+					began[id] = true
+					n.Heard(now, id, Event{Kind: Stood, Outcome: out})
+				}
+			}
+		}
+		if began[seq] && n.flows[seq].holder == "c" && step > 200 && step < 240 {
+			n.Heard(now, seq, Event{Kind: Told, Load: 40})
+		}
+		for _, id := range h.probed {
+			n.Probed(now, balance.Report{Backend: id, Latency: time.Millisecond, Load: []float32{0.2}})
+		}
+		h.probed = nil
+		for _, id := range h.moved {
+			did = append(did, fmt.Sprintf("%d %d moves", step, id))
+			out := balance.Outcome{ID: id, Attempt: n.flows[id].sent - 1, Status: balance.Cancelled, Closed: true}
+			n.Heard(now, id, Event{Kind: AttemptEnded, Outcome: out})
+		}
+		h.moved = nil
+	}
+	return n, did
+}
+
+func differences(n *Node) (f *WatchFigures, sum int64) {
+	f = n.Ledger().Read().Watch
+	for _, c := range f.Counts {
+		sum += c
+	}
+	return f, sum
+}
+
+func TestWatchingTheSameShapeFindsNoDifference(t *testing.T) {
+	n, did := serve(t, watched(func(*Shape) {}), nil)
+	f, sum := differences(n)
+	if sum != 0 || f.Compared < 350 || f.Ended {
+		t.Errorf("%+v", f)
+	}
+	moves := 0
+	for _, d := range did {
+		if strings.HasSuffix(d, "moves") {
+			moves++
+		}
+	}
+	if moves == 0 {
+		t.Error("nobody was moved: the day shows nothing of moves")
+	}
+}
+
+func TestWhatIsDoneIsTheSameWithAndWithoutWatching(t *testing.T) {
+	_, plain := serve(t, watched(nil), nil)
+	for name, change := range map[string]func(*Shape){
+		"same": func(*Shape) {}, "no probes": func(s *Shape) { s.Probes, s.Report = false, nil },
+		"no weights": func(s *Shape) { s.Weights = balance.WeightsOff },
+	} {
+		if _, did := serve(t, watched(change), nil); !slices.Equal(did, plain) {
+			t.Errorf("%s: %d things done, %d without watching", name, len(did), len(plain))
+		}
+	}
+}
+
+// Each difference is counted under its kind, and none grows into others: after 400 clients the other half holds
+// just what is really open.
+func TestWatchingCountsByKind(t *testing.T) {
+	n, _ := serve(t, watched(func(s *Shape) { s.Weights = balance.WeightsOff }), nil)
+	f, _ := differences(n)
+	if f.Counts[WatchAnother] < 50 || f.Counts[WatchAnother] > 300 {
+		t.Errorf("no weights: %+v", f)
+	}
+	n, _ = serve(t, watched(func(s *Shape) { s.Probes, s.Report = false, nil }), nil)
+	if f, sum := differences(n); sum == 0 || f.Counts[WatchMoved]+f.Counts[WatchLeft]+f.Counts[WatchAvoided]+f.Counts[WatchBack]+
+		f.Counts[WatchRefused]+f.Counts[WatchAnother] == 0 {
+		t.Errorf("no probes: %+v", f)
+	}
+	real, _ := n.Balancer().Connections()
+	other, byServer := n.watch.other.Connections()
+	if real != other || other != byServer || real == 0 {
+		t.Errorf("really open %d, in the other half's books %d, by server %d", real, other, byServer)
+	}
+}
+
+func TestAFaultOfTheWatchingHalfEndsItAndTouchesNoRequest(t *testing.T) {
+	_, plain := serve(t, watched(nil), nil)
+	var lines []string
+	n, did := serve(t, watched(func(s *Shape) { s.Weights = balance.WeightsOff }), func(n *Node, at time.Duration) {
+		if at == 4*time.Second {
+			n.log = zap.New(logTo(func(msg string) { lines = append(lines, msg) }))
+			n.watch.other = nil
+		}
+	})
+	if f, _ := differences(n); !f.Ended || !slices.Equal(did, plain) {
+		t.Errorf("ended %v; %d things done, %d without watching", f.Ended, len(did), len(plain))
+	}
+	if !slices.Contains(lines, "watching has ended by a fault of its own") {
+		t.Errorf("logged %q", lines)
+	}
+}
+
+func BenchmarkDecision(b *testing.B) {
+	for name, change := range map[string]func(*Shape){"alone": nil, "watched": func(s *Shape) { s.Probes, s.Report = false, nil }} {
+		b.Run(name, func(b *testing.B) {
+			h := &host{orders: map[uint64][]Order{}}
+			n, err := NewNode(time.Second, watched(change), h, zap.NewNop())
+			if err != nil {
+				b.Fatal(err)
+			}
+			for i := 0; b.Loop(); i++ {
+				id, now := uint64(i+1), time.Second+time.Duration(i)*time.Millisecond
+				n.balancer.Request(now, balance.Request{ID: id, Key: id, Left: time.Second, Timing: &balance.Timing{}})
+				n.balancer.Gone(now, id)
+			}
+		})
+	}
+}
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -60,10 +60,12 @@
 		return "SUCCESS taking clients" + eol
 	case "STATS":
 		return stats(r.Figures(), eol)
+	case "WATCH":
+		return watching(r.Figures().Watch, eol)
 	case "":
 		return "FAILURE empty call" + eol
 	}
-	return "FAILURE unknown call, there are READY, STATS, DRAIN and UNDRAIN" + eol
+	return "FAILURE unknown call, there are READY, STATS, WATCH, DRAIN and UNDRAIN" + eol
 }
 
 // stats writes all figures, one a line.
@@ -85,3 +87,15 @@
 	b.WriteString("EOT" + eol)
 	return b.String()
 }
+
+// watching writes what the settings of another shape would have decided otherwise, one kind a line.
+func watching(f *machine.WatchFigures, eol string) string {
+	if f == nil {
+		return "FAILURE nothing is watched: the configuration has no shape to watch" + eol
+	}
+	var b strings.Builder
+	b.WriteString("SUCCESS" + eol)
+	f.Each(func(name string, v int64) { fmt.Fprintf(&b, "watch.%s=%d%s", name, v, eol) })
+	b.WriteString("EOT" + eol)
+	return b.String()
+}
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -47,6 +47,7 @@
 		{"UNDRAIN", Starting, "SUCCESS", -1}, {"UNDRAIN", Serving, "SUCCESS", -1}, {"UNDRAIN", Drained, "SUCCESS", -1},
 		{"UNDRAIN", Leaving, "FAILURE leaving", 0},
 		{"STATS", Starting, figures, 0}, {"STATS", Leaving, figures, 0},
+		{"WATCH", Serving, "FAILURE nothing is watched", 0},
 		{"", Serving, "FAILURE empty call", 0}, {"drain", Serving, "FAILURE unknown call", 0}, {"DRAIN now", Serving, "FAILURE unknown call", 0},
 	} {
 		f := &fake{state: c.state}
--- a/internal/relay/management_test.go
+++ b/internal/relay/management_test.go
@@ -12,11 +12,18 @@
 
 	"go.uber.org/zap"
 
+	"aspenbarrow/internal/machine"
 	"aspenbarrow/internal/standin"
 )
 
 // managed is a relay with a second address and one backend.
 func managed(t *testing.T) *Relay {
+	t.Helper()
+	return managedAs(t, func(*Config) {})
+}
+
+// managedAs is that under a changed configuration.
+func managedAs(t *testing.T, change func(*Config)) *Relay {
 	t.Helper()
 	b := &standin.Backend{Report: "x0=0.1"}
 	if err := b.Listen("127.0.0.1:0"); err != nil {
@@ -29,6 +36,7 @@
 	}
 	cfg := config(d.Addr(), entry)
 	cfg.Settings.PassThrough, cfg.Management = false, "127.0.0.1:0"
+	change(&cfg)
 	r, err := New(cfg, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
@@ -190,3 +198,18 @@
 	}
 	upClient(t, r, 99)
 }
+
+// What other settings would do is told at the second address and done nowhere.
+func TestWatchingTellsAtTheSecondAddress(t *testing.T) {
+	if got := call(t, managed(t), "WATCH"); !strings.HasPrefix(got, "FAILURE nothing is watched") {
+		t.Errorf("%q", got)
+	}
+	r := managedAs(t, func(cfg *Config) { cfg.Watch = &machine.Shape{RetryAfter: true} })
+	for i := range 5 {
+		upClient(t, r, i+1)
+	}
+	until(t, "five are compared", func() bool { return strings.Contains(call(t, r, "WATCH"), "watch.compared=5\n") })
+	if got := call(t, r, "WATCH"); !strings.HasPrefix(got, "SUCCESS\nwatch.another=0\n") || !strings.HasSuffix(got, "watch.fault=0\nEOT\n") {
+		t.Errorf("%q", got)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -161,7 +161,7 @@
 		s.Tenants = append(s.Tenants, t)
 		out.TenantNames = append(out.TenantNames, c.Name)
 	}
-	if in.Stats.How != "off" {
+	if in.Stats.How != "off" && (in.Limits.Probes || in.Stats.How != "on_probe") { // else none ever comes
 		for _, f := range in.Stats.Fields {
 			s.Report = append(s.Report, fields[f])
 		}
