--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,7 +6,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -28,42 +27,14 @@
 	shunning   = 4                // how much likelier than it was late a kind is passed by
 	shunned    = 2                // so many servers are passed by where they can be asked first
 	lateSpan   = 4 * beat         // a server counts as late for so long
+	nearBorne  = 0.8              // this part of what a server bore its limit is soon back at,
+	feelSpan   = 8 * beat         // and feels its way from there for so long
 	longestGap = 16 * beat        // attempts are spaced out no further, so that what ends is noticed
 	step       = beat / 10        // the rhythm of moves off a relay that stops or is drained
 	tickToken  = 1 << 63          // timers: upkeep,
 	leaveToken = tickToken + 1    // and those moves; any other token is a request's deadline
 )
 
-// New starts a relay's decisions.
-func New(now time.Duration, seed uint64, s Settings, do Actions) *Balancer {
-	b := &Balancer{do: do, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
-		servers: map[BackendID]*server{}, calls: map[uint64]*call{}, divert: map[uint64]diversion{},
-		kinds: map[int]*kind{},
-		usual: []float64{1}, seen: []float64{0}, taken: make([]int, max(1, len(s.Tenants))),
-		cleared: now, budget: 1, crowd: 1, share: slices.Index(s.Report, FieldLoadShare)}
-	b.Retune(s)
-	if s.ListOnRequest {
-		b.askList(now)
-	}
-	do.After(tickToken, beat)
-	return b
-}
-
-// Retune takes other settings over. Requests and connections keep the class and the number of attempts that
-// they were taken under; loads and placements stay.
-func (b *Balancer) Retune(s Settings) {
-	if !s.RetryAfter {
-		s.MaxRetryAfter = 0
-	}
-	b.set, b.quickest = s, math.Inf(1)
-	for _, class := range s.Classes {
-		if !class.Gone {
-			b.quickest = min(b.quickest, float64(class.MessageAim)/float64(3*time.Millisecond))
-		}
-	}
-	b.grow(len(s.Classes))
-}
-
 // --- placing -----------------------------------------------------------------
 
 // place chooses the backend of a connection, as the design page reads.
@@ -202,20 +173,6 @@
 	}
 }
 
-// Open takes over a connection that flows through this relay already.
-func (b *Balancer) Open(now time.Duration, r Request, id BackendID) {
-	if b.calls[r.ID] != nil {
-		return
-	}
-	s := b.servers[id]
-	if s == nil {
-		s = b.learn(now, Backend{ID: id, State: StateGone, Weight: 1})
-	}
-	c := b.newCall(now, r)
-	c.began, c.tries = true, 1
-	b.attach(c, s)
-}
-
 // try sends the next attempt, or holds the request until a list names a ready server.
 func (b *Balancer) try(now time.Duration, c *call) {
 	if len(b.ready) == 0 {
@@ -349,22 +306,6 @@
 // answerTime is how long a probe is waited for: what is left then is for set-ups.
 func (b *Balancer) answerTime(c *call) time.Duration { return b.set.Classes[c.Class].OnTime / 4 }
 
-// resume places what waited for the server's answer or, with none, for a list.
-func (b *Balancer) resume(now time.Duration, asked *server) {
-	held := b.held
-	b.held = nil
-	for _, c := range held {
-		switch {
-		case c.done:
-		case c.asked != asked:
-			b.held = append(b.held, c)
-		default:
-			c.asked = nil
-			b.try(now, c)
-		}
-	}
-}
-
 // overShare says whether the tenant holds its share here while half the servers are full.
 func (b *Balancer) overShare(c *call) bool {
 	if c.Tenant >= len(b.set.Tenants) || b.set.OverShareWorth >= 1 || c.MidFlow {
@@ -459,13 +400,6 @@
 	}
 }
 
-// Gone hears that the client left.
-func (b *Balancer) Gone(now time.Duration, id uint64) {
-	if c := b.calls[id]; c != nil && !c.done {
-		b.finish(c)
-	}
-}
-
 // Note hears of a pending attempt.
 func (b *Balancer) Note(now time.Duration, id uint64, kind NoteKind, v float64) {
 	c := b.calls[id]
@@ -516,17 +450,6 @@
 	}
 }
 
-func (b *Balancer) upkeep(now time.Duration) {
-	if now-b.cleared >= clearEvery {
-		b.clear(now)
-	}
-	b.age(now)
-	b.recover(now)
-	if b.list.again > 0 && now >= b.list.again {
-		b.askList(now)
-	}
-}
-
 // --- health -------------------------------------------------------------------
 
 // judge suspends a server that fails an attempt, longer each time in a row: quick
@@ -652,8 +575,7 @@
 			conns = probeConns
 		}
 		if now-s.hot >= 2*beat {
-			// Soon back near what it bore; from there it feels its way, for a while.
-			if s.limit < 0.8*s.bears || now-s.hot > 8*beat || b.share >= 0 {
+			if s.limit < nearBorne*s.bears || now-s.hot > feelSpan || b.share >= 0 {
 				s.limit *= 1.1
 			} else {
 				s.limit *= 1.02
--- /dev/null
+++ b/balance/life.go
@@ -0,0 +1,90 @@
+// This file owns how one relay's decisions begin, take other settings over, and go on when a request
+// ends, a beat is over or what was waited for has come. It must never choose a server, weigh one, or
+// say whether a request is tried or turned away: that is balance.go.
+
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// New starts a relay's decisions.
+func New(now time.Duration, seed uint64, s Settings, do Actions) *Balancer {
+	b := &Balancer{do: do, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		servers: map[BackendID]*server{}, calls: map[uint64]*call{}, divert: map[uint64]diversion{},
+		kinds: map[int]*kind{},
+		usual: []float64{1}, seen: []float64{0}, taken: make([]int, max(1, len(s.Tenants))),
+		cleared: now, budget: 1, crowd: 1, share: slices.Index(s.Report, FieldLoadShare)}
+	b.Retune(s)
+	if s.ListOnRequest {
+		b.askList(now)
+	}
+	do.After(tickToken, beat)
+	return b
+}
+
+// Retune takes other settings over. Requests and connections keep the class and the number of attempts that
+// they were taken under; loads and placements stay.
+func (b *Balancer) Retune(s Settings) {
+	if !s.RetryAfter {
+		s.MaxRetryAfter = 0
+	}
+	b.set, b.quickest = s, math.Inf(1)
+	for _, class := range s.Classes {
+		if !class.Gone {
+			b.quickest = min(b.quickest, float64(class.MessageAim)/float64(3*time.Millisecond))
+		}
+	}
+	b.grow(len(s.Classes))
+}
+
+// Open takes over a connection that flows through this relay already.
+func (b *Balancer) Open(now time.Duration, r Request, id BackendID) {
+	if b.calls[r.ID] != nil {
+		return
+	}
+	s := b.servers[id]
+	if s == nil {
+		s = b.learn(now, Backend{ID: id, State: StateGone, Weight: 1})
+	}
+	c := b.newCall(now, r)
+	c.began, c.tries = true, 1
+	b.attach(c, s)
+}
+
+// Gone hears that the client left.
+func (b *Balancer) Gone(now time.Duration, id uint64) {
+	if c := b.calls[id]; c != nil && !c.done {
+		b.finish(c)
+	}
+}
+
+func (b *Balancer) upkeep(now time.Duration) {
+	if now-b.cleared >= clearEvery {
+		b.clear(now)
+	}
+	b.age(now)
+	b.recover(now)
+	if b.list.again > 0 && now >= b.list.again {
+		b.askList(now)
+	}
+}
+
+// resume places what waited for the server's answer or, with none, for a list.
+func (b *Balancer) resume(now time.Duration, asked *server) {
+	held := b.held
+	b.held = nil
+	for _, c := range held {
+		switch {
+		case c.done:
+		case c.asked != asked:
+			b.held = append(b.held, c)
+		default:
+			c.asked = nil
+			b.try(now, c)
+		}
+	}
+}
