--- a/balance/balance.go
+++ b/balance/balance.go
@@ -271,9 +271,9 @@
 	}
 }
 
-// shun says whether a returning client passes by a server that this relay hears nothing of: by chance, the likelier
-// the more often its kind was late. Every relay would send it home in turn, to be moved off again. Where none can
-// be asked first the chance is twice that, at all the servers that a group goes to.
+// shun says whether a returning client passes by a server that this relay hears nothing of: by chance, the
+// likelier the more often its kind was late. Every relay would send it home in turn, to be moved off
+// again. Where none can be asked first the chance is twice that, at all the servers that a group goes to.
 func (b *Balancer) shun(s *server, c *call) bool {
 	chance, most := shunning*b.kindOf(s).lateness(), shunned
 	if !b.set.Probes {
@@ -471,10 +471,10 @@
 	}
 }
 
-// shared takes in how a set-up went and spaces out this relay's attempts, as TCP spaces segments, while set-ups
-// of one request after another fail or are slow at different servers: what they all wait for is shared then, and
-// attempts at the usual pace would keep it jammed for good. A slow one halves the pace, once a round; each quick
-// one raises it again. A request that fails everywhere may itself be the cause.
+// shared takes in how a set-up went and spaces out this relay's attempts, as TCP spaces segments, while
+// set-ups of one request after another fail or are slow at different servers: what they all wait for is
+// shared then, and attempts at the usual pace would keep it jammed for good. A slow one halves the pace,
+// once a round; each quick one raises it again. A request that fails everywhere may itself be the cause.
 func (b *Balancer) shared(now time.Duration, c *call, slow bool) {
 	last, of := b.sick, b.sickOf
 	if b.sick, b.sickOf = c.at, c.ID; !slow {
