Without reports a large group goes to half its part of the servers while the fleet is not late

Checks: connections and groups by server: 26 groups of some 50 clients, whose first three servers, often slow ones of 25 clients, are full; reasons of refusals counted: a relay knows four to six servers to be full, of 51 or 323, and has seen seven. Half of those late counted as a late fleet. Ruled out: cold servers (no refusal after 28 s), the pace of attempts (a tenth after 30 s). Lines at fault: overflow holds every group to three servers; lateFleet takes two of four known servers for the fleet. Change: groups' first requests are counted; while the fleet is not late a group goes to half its part of the ready servers if that is over three. A fleet is late if the late servers known are a tenth of it as well.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,6 +26,7 @@
 	askers     = 8                // one relay in so many asks a given server while a report is old
 	shunning   = 4                // how much likelier than it was late a kind is passed by
 	shunned    = 2                // so many servers are passed by where they can be asked first
+	speakers   = 10               // one server in so many may speak for the fleet
 	lateSpan   = 4 * beat         // a server counts as late for so long
 	nearBorne  = 0.8              // this part of what a server bore its limit is soon back at,
 	feelSpan   = 8 * beat         // and feels its way from there for so long
@@ -102,16 +103,21 @@
 			ahead++
 		}
 	}
-	if b.share < 0 && ahead > 0 && b.lateFleet(now) { // no report tells of idle ones
-		return nil
+	most := spread
+	if b.share < 0 { // no report tells of idle ones: large groups go to half their part of the servers
+		if ahead > 0 && b.lateFleet(now) {
+			return nil
+		}
+		most = max(most, int(b.part(c.key)*float64(len(b.ready))/2))
 	}
-	if ahead >= spread && (b.set.TellsDelay && ahead >= len(b.ready)/portion || b.crowd > headroom) {
+	if ahead >= most && (b.set.TellsDelay && ahead >= len(b.ready)/portion || b.crowd > headroom) {
 		return nil
 	}
 	return next
 }
 
-// lateFleet says whether half of the servers that this relay has connections on were late of late.
+// lateFleet says whether half of the servers that this relay has connections on were late of late, and so
+// many that they may speak for the fleet. One alone may be at fault itself.
 func (b *Balancer) lateFleet(now time.Duration) bool {
 	late := 0
 	for _, s := range b.busy {
@@ -119,7 +125,7 @@
 			late++
 		}
 	}
-	return late > 1 && 2*late >= len(b.busy) // one alone may be at fault itself
+	return late > 1 && 2*late >= len(b.busy) && speakers*late >= len(b.ready)
 }
 
 // first is the ready server with the highest rendezvous score of those that pass.
--- a/balance/books.go
+++ b/balance/books.go
@@ -157,9 +157,11 @@
 	held     []*call // waiting for a list or for a probe's answer
 	all      sums    // of all servers
 	divert   map[uint64]diversion
-	order    []uint64  // keys of divert, oldest first
-	usual    []float64 // by class what a connection usually loads; last: by all classes
-	seen     []float64 // how many told loads usual rests on
+	order    []uint64           // keys of divert, oldest first
+	demand   map[uint64]float64 // new requests by group, older ones counting less
+	demanded float64            // the sum of demand
+	usual    []float64          // by class what a connection usually loads; last: by all classes
+	seen     []float64          // how many told loads usual rests on
 	cleared  time.Duration
 	leaves   time.Duration // by when no connection is to be here; 0: they may stay
 	stepping bool          // the timer of moves off this relay is set
@@ -201,6 +203,7 @@
 	switch {
 	case b.set.Groups && r.Group != 0: // every server that holds any of a group pays for all of it
 		c.key, c.grouped = mix(r.Group), true
+		b.demands(c)
 	case r.Key == 0:
 		c.key = mix(r.ID)
 	}
@@ -216,6 +219,17 @@
 	return c
 }
 
+// demands counts a request of a group. Who comes again counts once, or a group that is refused would seem to grow.
+func (b *Balancer) demands(c *call) {
+	if !c.Repeat && !c.Back && (len(b.demand) < maxDivert || b.demand[c.key] > 0) {
+		b.demand[c.key]++
+		b.demanded++
+	}
+}
+
+// part is a group's part of the requests that this relay was asked for of late.
+func (b *Balancer) part(key uint64) float64 { return b.demand[key] / max(1, b.demanded) }
+
 // grow makes room for so many classes. What all classes bring stays last.
 func (b *Balancer) grow(classes int) {
 	last := len(b.usual) - 1
@@ -337,12 +351,21 @@
 	b.all.add(c, -1)
 }
 
-// clear forgets backups and flags.
+// clear forgets backups and flags, and half of the demand.
 func (b *Balancer) clear(now time.Duration) {
 	b.cleared = now
 	for _, s := range b.ready {
 		s.backup, s.flagged = nil, false
 	}
+	b.demanded = 0
+	for key, n := range b.demand {
+		if n /= 2; n < 0.25 {
+			delete(b.demand, key)
+			continue
+		}
+		b.demand[key] = n
+		b.demanded += n
+	}
 }
 
 // medianWeight is the median of the ready servers' weights, 0 without any.
--- a/balance/shape_test.go
+++ b/balance/shape_test.go
@@ -177,3 +177,31 @@
 		b.Outcome(sec+10*ms, Outcome{ID: 99, Attempt: n, Backend: got[n].to, Status: Error})
 	}
 }
+
+// A group of which half of all requests are filled its three servers, and its clients were refused beside two
+// hundred idle ones. Those who come again do not make it larger.
+func TestALargeGroupGoesToItsPartOfTheServers(t *testing.T) {
+	went := func(of int) (n int) { // of how many requests one is the group's
+		s := settings()
+		s.Groups = true
+		b, _ := start(t, s, 40)
+		for id := uint64(1); id <= 60; id++ {
+			group := uint64(7)
+			if int(id)%of != 0 {
+				group = 100 + id
+			}
+			b.newCall(sec, Request{ID: id, Group: group, Left: sec})
+		}
+		for id := uint64(100); id < 200; id++ {
+			b.newCall(sec, Request{ID: id, Group: 7, Left: sec, Back: true})
+		}
+		q := b.newCall(sec, Request{ID: 999, Group: 7, Left: sec})
+		for s := b.place(sec, q); s != nil; s = b.place(sec, q) {
+			s.until, n = 60*sec, n+1
+		}
+		return n
+	}
+	if all, half, few := went(1), went(2), went(30); all != 20 || half < 9 || half > 11 || few != spread {
+		t.Errorf("of 40 servers all requests go to %d, half of them to %d, a thirtieth to %d", all, half, few)
+	}
+}
