--- a/internal/machine/watch.go
+++ b/internal/machine/watch.go
@@ -328,7 +328,13 @@
 }
 
 func (w *watch) Gone(now time.Duration, id uint64) {
-	w.safely(func() { w.force(now, id) })
+	w.safely(func() {
+		w.force(now, id)
+		// A client that leaves while what decides holds it leaves nothing behind where it was sent in vain.
+		if f := w.flows[id]; f != nil && f.other.sent {
+			w.other.Follow(now, f.request, 0, 0, false)
+		}
+	})
 	w.both(now, func(d Decider) { d.Gone(now, id) })
 	w.safely(func() { w.drop(id) })
 }
--- a/internal/machine/watch_test.go
+++ b/internal/machine/watch_test.go
@@ -136,6 +136,25 @@
 	}
 }
 
+// What decides asks the server first; the other half, which cannot, has sent the client by then. When the client leaves
+// before the answer neither holds it.
+func TestAClientThatLeavesWhileItIsHeldIsInNobodysBooks(t *testing.T) {
+	n, h := node(t, watched(func(s *Shape) { s.Probes, s.Report = false, nil }))
+	now := 9 * time.Second
+	f := NewFlow(1, n.Settings(), n.Ledger())
+	if _, err := f.Hello(now, []byte("OPEN 0000000000000001 0000000000000001 c=chat,d=1000\r\n"), true); err != nil {
+		t.Fatal(err)
+	}
+	n.Opened(now, f)
+	if other, _ := n.watch.other.Connections(); len(h.probed) != 1 || len(h.orders[1]) != 0 || other != 1 {
+		t.Fatalf("asked %d, ordered %d, the other half holds %d", len(h.probed), len(h.orders[1]), other)
+	}
+	n.Heard(now, 1, Event{Kind: ClientLeft})
+	if other, _ := n.watch.other.Connections(); other != 0 || len(n.watch.flows) != 0 {
+		t.Errorf("the other half holds %d, flows %d", other, len(n.watch.flows))
+	}
+}
+
 func TestAFaultOfTheWatchingHalfEndsItAndTouchesNoRequest(t *testing.T) {
 	_, plain := serve(t, watched(nil), nil)
 	var lines []string
@@ -169,3 +188,20 @@
 		})
 	}
 }
+
+// Watching begins and ends with the process: a reload that changes the shape says so and goes on as before.
+func TestAChangedShapeWaitsForARestart(t *testing.T) {
+	for _, was := range []func(*Shape){nil, func(*Shape) {}} {
+		n, _ := node(t, watched(was))
+		var lines []string
+		n.log = zap.New(logTo(func(msg string) { lines = append(lines, msg) }))
+		cfg := watched(func(s *Shape) { s.Probes = false })
+		if err := n.Reload(2*time.Second, cfg, 256); err != nil {
+			t.Fatal(err)
+		}
+		if !slices.Contains(lines, "part of the configuration waits for a restart") || (n.Config().Watch == nil) != (was == nil) ||
+			n.Config().Watch.equal(cfg.Watch) {
+			t.Errorf("logged %q, in force %+v", lines, n.Config().Watch)
+		}
+	}
+}
--- a/internal/relay/management_test.go
+++ b/internal/relay/management_test.go
@@ -19,13 +19,13 @@
 // managed is a relay with a second address and one backend.
 func managed(t *testing.T) *Relay {
 	t.Helper()
-	return managedAs(t, func(*Config) {})
+	return managedAs(t, "x0=0.1", func(*Config) {})
 }
 
-// managedAs is that under a changed configuration.
-func managedAs(t *testing.T, change func(*Config)) *Relay {
+// managedAs is that under a changed configuration, with what the backend reports.
+func managedAs(t *testing.T, report string, change func(*Config)) *Relay {
 	t.Helper()
-	b := &standin.Backend{Report: "x0=0.1"}
+	b := &standin.Backend{Report: report}
 	if err := b.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
@@ -199,17 +199,36 @@
 	upClient(t, r, 99)
 }
 
-// What other settings would do is told at the second address and done nowhere.
+// What other settings would do is told at the second address and done nowhere: under the same ones nothing differs,
+// and one that cannot ask would have sent a client to a backend that says it is full.
 func TestWatchingTellsAtTheSecondAddress(t *testing.T) {
 	if got := call(t, managed(t), "WATCH"); !strings.HasPrefix(got, "FAILURE nothing is watched") {
 		t.Errorf("%q", got)
 	}
-	r := managedAs(t, func(cfg *Config) { cfg.Watch = &machine.Shape{RetryAfter: true} })
+	same := func(cfg *Config) {
+		s := &cfg.Settings
+		cfg.Watch = &machine.Shape{Probes: s.Probes, Peers: s.Peers, Groups: s.Groups, RetryAfter: s.RetryAfter, Report: s.Report,
+			Weights: s.Weights}
+	}
+	r := managedAs(t, "x0=0.1", same)
 	for i := range 5 {
 		upClient(t, r, i+1)
 	}
 	until(t, "five are compared", func() bool { return strings.Contains(call(t, r, "WATCH"), "watch.compared=5\n") })
-	if got := call(t, r, "WATCH"); !strings.HasPrefix(got, "SUCCESS\nwatch.another=0\n") || !strings.HasSuffix(got, "watch.fault=0\nEOT\n") {
-		t.Errorf("%q", got)
+	got := call(t, r, "WATCH")
+	if !strings.HasSuffix(got, "watch.fault=0\nEOT\n") || strings.Count(got, "=0\n") != strings.Count(got, "=")-1 {
+		t.Errorf("the same settings: %q", got)
+	}
+	r = managedAs(t, "x0=2.0", func(cfg *Config) { same(cfg); cfg.Watch.Probes, cfg.Watch.Report = false, nil })
+	c, err := net.Dial("tcp", r.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintf(c, "OPEN %016x %016x c=chat,d=1000\r\n", 1, 1)
+	if answer, _ := bufio.NewReader(c).ReadString('\n'); !strings.HasPrefix(answer, "BUSY") {
+		t.Errorf("%q of a full backend", answer)
 	}
+	until(t, "it is counted", func() bool { return strings.Contains(call(t, r, "WATCH"), "watch.sent=1\n") })
 }
