A leaving relay answers and moves all before its end; one call for lists at a start

Lost: each relay ends 3.5 s after SIGTERM whatever is owed (node.go, lookTimer), while the class waits 4.5 s and nothing but its deadline ends an attempt at a backend that hangs; the dial, the front and the accept queue were ruled out by the times. A keyed repeat is held to its window with the time that its dial may take. A kept probe connection is held to the idle time in force.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -351,7 +351,7 @@
 	return 2*near >= len(b.ready)
 }
 
-// allowed keeps rule 2: no effect happens twice.
+// allowed keeps rule 2: no effect happens twice. A repeat arrives only once its connection is up.
 func (b *Balancer) allowed(now time.Duration, s *server, c *call) bool {
 	if !c.mayRan {
 		return true
@@ -361,7 +361,7 @@
 	case Safe:
 		return true
 	case Keyed:
-		if now-c.ranAt >= class.Window-b.set.Tick {
+		if up := max(b.set.DialTimeout, c.Timing.Connect); now+up-c.ranAt >= class.Window-b.set.Tick {
 			return false
 		}
 		return class.Scope == ScopeAll || class.Scope == ScopeZone && s.Zone == c.ranServer.Zone ||
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -188,6 +188,21 @@
 	if len(r.take("send")) != 0 || len(r.take("fail")) != 1 || len(r.take("refuse")) != 0 {
 		t.Fatalf("after the window: %v", r.did)
 	}
+	// Within it, but its connection may come up only after it: sent then, it would act twice.
+	s := settings()
+	s.DialTimeout = 300 * ms
+	for _, c := range []struct {
+		at    time.Duration
+		again int
+	}{{sec + s.Classes[3].Window - 250*ms, 0}, {sec + s.Classes[3].Window - 350*ms, 1}} {
+		b, r := start(t, s, 8)
+		first := sent(t, b, r, sec, Request{ID: 9, Class: 3, Key: 5})
+		r.clear()
+		b.Outcome(c.at, Outcome{ID: 9, Backend: first, Status: Reset})
+		if got := len(r.take("send")); got != c.again {
+			t.Errorf("%v before the window's end: %d sent, want %d", sec+s.Classes[3].Window-c.at, got, c.again)
+		}
+	}
 }
 
 func TestEmptyFleetHoldsThenAnswersInTime(t *testing.T) {
--- a/balance/life.go
+++ b/balance/life.go
@@ -73,6 +73,20 @@
 	}
 }
 
+// Expire hears that a request has no time left, whatever it had when it came: this relay's own end is near. What is
+// out is given up, and its end brings the answer.
+func (b *Balancer) Expire(now time.Duration, id uint64) {
+	c := b.calls[id]
+	if c == nil || c.done || c.began {
+		return
+	}
+	if c.deadline = min(c.deadline, now); c.at != nil {
+		b.do.Cancel(id, c.tries-1)
+		return
+	}
+	b.Timer(now, id)
+}
+
 func (b *Balancer) upkeep(now time.Duration) {
 	if now-b.cleared >= clearEvery {
 		b.clear(now)
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -197,6 +197,17 @@
 	}
 }
 
+func (p *policy) Expire(now time.Duration, id uint64) {
+	switch c := p.calls[id]; {
+	case c == nil || c.done || c.began:
+	case c.out:
+		c.until = now
+		p.do.Cancel(id, len(c.tried)-1)
+	default:
+		p.answer(c)
+	}
+}
+
 func (p *policy) Leave(_, at time.Duration) {
 	if at > 0 {
 		p.move(func(*call) bool { return true })
--- /dev/null
+++ b/internal/machine/crossings_test.go
@@ -0,0 +1,309 @@
+package machine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"aspenbarrow/balance"
+)
+
+// lone is a configuration with one class, of a patience, on one backend.
+func lone(patience time.Duration, effect balance.Effect, pass bool) Config {
+	cfg := testConfig()
+	cfg.Settings.PassThrough = pass
+	cfg.Settings.Classes = []balance.Class{{OnTime: patience / 2, GiveUp: patience, Effect: effect}}
+	return cfg
+}
+
+func says(seq uint64) string {
+	return fmt.Sprintf("OPEN %016x %016x c=chat,d=9000\r\n", seq, seq)
+}
+
+// SIGKILL comes 3.7 s after SIGTERM at the earliest, however long the deadline is. A request at a backend that hangs
+// was cut off with the relay at 3.5 s, without any answer, where its class waits for longer than 3 s; so was one that
+// came after SIGTERM and so has its whole deadline before it.
+func TestALeavingRelayAnswersBeforeItsEndWhateverTheDeadline(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		patience time.Duration
+		effect   balance.Effect
+		pass     bool
+		came     time.Duration // before SIGTERM; below 0: after it
+		want     string
+	}{
+		{"longer than there is", 4500 * time.Millisecond, balance.Safe, false, 10 * time.Millisecond, "BUSY 1000\r\n"},
+		{"it may have run", 4500 * time.Millisecond, balance.Unsafe, false, 10 * time.Millisecond, AnswerFailed},
+		{"packets pass through", 4500 * time.Millisecond, balance.Safe, true, 10 * time.Millisecond, "BUSY 1000\r\n"},
+		{"it came late", 4500 * time.Millisecond, balance.Safe, false, -400 * time.Millisecond, "BUSY 1000\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			n, h := node(t, lone(tc.patience, tc.effect, tc.pass))
+			term := 2 * time.Second
+			var a *Attempt
+			f := greeted(t, n, 1, says(1))
+			begin := func(at time.Duration) {
+				f.Came = at
+				n.Opened(at, f)
+				a = f.Order(at, h.orders[1][0]).Try
+			}
+			if tc.came >= 0 {
+				begin(term - tc.came)
+				n.Leave(term)
+			} else {
+				n.Leave(term)
+				begin(term - tc.came)
+			}
+			if by := term + 3500*time.Millisecond; tc.came < 0 && a.Until > by {
+				t.Errorf("the attempt may last until %v, the relay until %v", a.Until, by)
+			}
+			// The backend hangs: nothing but the relay's own word ends the attempt.
+			for at, ok := n.Next(); ok && at <= term+3500*time.Millisecond && len(h.orders[1]) == 1; at, ok = n.Next() {
+				n.Due(at)
+			}
+			if tc.came >= 0 {
+				if len(h.orders[1]) != 2 || !h.orders[1][1].Cancel {
+					t.Fatalf("the attempt is not given up: %+v", h.orders[1])
+				}
+			} else if h.left != 0 {
+				t.Fatal("left while an answer is owed")
+			}
+			now := min(a.Until, term+3450*time.Millisecond)
+			fail := a.Broke(0, true, errDrained, true)
+			if tc.came >= 0 {
+				fail.GivenUp()
+			}
+			n.Heard(now, 1, f.Tried(now, a, fail).Event)
+			if got := h.orders[1][len(h.orders[1])-1].Answer; got != tc.want {
+				t.Errorf("the answer is %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+// A request that nothing was sent for yet, since no list names a ready server, is answered before the end as well.
+func TestALeavingRelayAnswersWhoeverWaitsForAList(t *testing.T) {
+	cfg := lone(8*time.Second, balance.Safe, true)
+	cfg.Known = nil
+	n, h := node(t, cfg)
+	f := greeted(t, n, 1, says(1))
+	n.Opened(time.Second, f)
+	n.Leave(time.Second)
+	played(n, time.Second+3460*time.Millisecond)
+	if o := h.orders[1]; len(o) != 1 || o[0].Answer == "" {
+		t.Errorf("%+v", o)
+	}
+}
+
+// With short deadlines the moves have to be over before the relay's end, which follows the longest of them: they took
+// 1.5 s whatever the settings said, and what was left was cut off without MOVE. One that comes up at the last moment
+// is moved too.
+func TestMovesFitBeforeTheEndOfALeavingRelay(t *testing.T) {
+	n, h := node(t, lone(300*time.Millisecond, balance.Safe, false))
+	for seq := uint64(1); seq <= 30; seq++ {
+		f := greeted(t, n, seq, says(seq))
+		n.Opened(time.Second, f)
+		a := f.Order(time.Second, h.orders[seq][0]).Try
+		n.Heard(time.Second, seq, f.Tried(time.Second, a, nil).Event)
+	}
+	n.Leave(time.Second)
+	played(n, time.Second+710*time.Millisecond)
+	moved := map[uint64]bool{}
+	for _, seq := range h.moved {
+		moved[seq] = true
+	}
+	if len(moved) != 30 {
+		t.Errorf("%d of 30 are moved before the end", len(moved))
+	}
+	f := greeted(t, n, 99, says(99))
+	f.Came = time.Second + 715*time.Millisecond
+	n.Opened(f.Came, f)
+	a := f.Order(f.Came, h.orders[99][0]).Try
+	n.Heard(f.Came, 99, f.Tried(f.Came, a, nil).Event)
+	h.moved = nil
+	played(n, time.Second+760*time.Millisecond)
+	found := false
+	for _, seq := range h.moved {
+		found = found || seq == 99
+	}
+	if !found {
+		t.Error("what came up at the last moment is cut off without MOVE")
+	}
+}
+
+// Someone may come between the look that found nothing owed and the end; and in the end itself, when the queue is
+// emptied: what is begun then would never be answered.
+func TestWhoComesWhileARelayEndsIsAnswered(t *testing.T) {
+	n, h := node(t, lone(time.Second, balance.Safe, true))
+	n.Leave(time.Second)
+	played(n, time.Second+620*time.Millisecond) // nothing is owed: the end is set
+	f := greeted(t, n, 1, says(1))
+	f.Came = time.Second + 630*time.Millisecond
+	n.Opened(f.Came, f)
+	played(n, time.Second+700*time.Millisecond)
+	if h.left != 0 {
+		t.Fatal("left while an answer is owed")
+	}
+	n.Heard(time.Second+700*time.Millisecond, 1, f.Left(false).Event)
+	n.Closed(time.Second+700*time.Millisecond, 1)
+	played(n, time.Second+900*time.Millisecond)
+	if h.left != 1 {
+		t.Fatalf("left %d times", h.left)
+	}
+	n.Opened(time.Second+900*time.Millisecond, greeted(t, n, 2, says(2)))
+	if o := h.orders[2]; len(o) != 1 || !strings.HasPrefix(o[0].Answer, "BUSY") {
+		t.Errorf("who comes after the end gets %+v", o)
+	}
+}
+
+// A class that a reload dropped lengthens nobody's leave: SIGKILL comes by the settings in force.
+func TestADroppedClassDoesNotPutTheEndOff(t *testing.T) {
+	cfg := with([]string{"long", "short"}, []balance.Class{class(balance.Safe), class(balance.Safe)}, 4)
+	cfg.Settings.Classes[0].GiveUp, cfg.Settings.Classes[1].GiveUp = 2800*time.Millisecond, 300*time.Millisecond
+	cfg.Settings.PassThrough = false
+	n, h := node(t, cfg)
+	f := greeted(t, n, 1, strings.Replace(says(1), "chat", "long", 1))
+	n.Opened(time.Second, f)
+	next := with([]string{"short"}, cfg.Settings.Classes[1:], 4)
+	next.Settings.PassThrough = false
+	if err := n.Reload(time.Second, next, 256); err != nil {
+		t.Fatal(err)
+	}
+	n.Leave(time.Second)
+	played(n, time.Second+860*time.Millisecond)
+	if o := h.orders[1]; len(o) != 2 || !o[1].Cancel || h.left != 1 {
+		t.Errorf("orders %+v, left %d times", o, h.left)
+	}
+}
+
+// asks is an agent of a relay whose lists come on request, or unasked.
+func asks(request bool) *Agent {
+	s := testConfig().Settings
+	s.ListOnRequest = request
+	return NewAgent("d:1", &s, false, rand.New(rand.NewPCG(1, 1)))
+}
+
+// One spoilt entry costs its own backend: a drain beside it has been told and counts. The list is asked for again, and
+// nobody is taken for gone by half of one.
+func TestASpoiltEntryCostsItsOwnBackendAlone(t *testing.T) {
+	n, _ := node(t, testConfig())
+	a := asks(false)
+	if c, ok := a.Next(); !ok || !c.Whole {
+		t.Fatalf("%+v, %v", c, ok)
+	}
+	news, err := a.Answered([]byte(`{"version":7,"full":true,"servers":[{"id":"a","addr":"h:1","state":"draining"},` +
+		`{"id":"b","addr":"h:2","state":"asleep"},{"id":"c","cell":"x"},3]}`))
+	if err == nil || !news.Any || news.Pause <= 0 {
+		t.Fatalf("%+v, %v", news, err)
+	}
+	n.Listed(2*time.Second, news.Members, news.Kind)
+	for i, want := range []bool{true, false, false} {
+		if b := n.Backends()[i]; (b.closed.Load() != 0) != want {
+			t.Errorf("backend %s is closed: %v", b.Name, !want)
+		}
+	}
+	if c, ok := a.Next(); !ok || !c.Whole {
+		t.Errorf("the list is not asked for again: %+v, %v", c, ok)
+	}
+}
+
+// Versions that go back are those of an agent that has begun anew: what it knew in between is asked for.
+func TestAnAgentThatBeganAnewIsAskedForAll(t *testing.T) {
+	for _, request := range []bool{false, true} {
+		a := asks(request)
+		a.Want(true)
+		a.Next()
+		if _, err := a.Answered([]byte(three)); err != nil {
+			t.Fatal(err)
+		}
+		a.Next()
+		if _, err := a.Answered([]byte(`{"version":41,"full":false,"servers":[]}`)); err != nil {
+			t.Fatal(err)
+		}
+		if c, _ := a.Next(); c.Whole || !strings.HasPrefix(c.Query, "index=41&") {
+			t.Fatalf("%+v", c)
+		}
+		if _, err := a.Answered([]byte(`{"version":2,"full":false,"servers":[{"id":"b","state":"draining"}]}`)); err != nil {
+			t.Fatal(err)
+		}
+		if c, ok := a.Next(); !ok || !c.Whole {
+			t.Errorf("on request %v: %+v, %v", request, c, ok)
+		}
+	}
+}
+
+// Where lists are asked for, a whole list and then a watch were two calls of each relay that starts; discovery has room
+// for one of each, turned half of the watches away, and drains were not heard of.
+func TestAStartingRelayMakesOneCallWhereListsAreAskedFor(t *testing.T) {
+	a := asks(true)
+	a.Knows(41)
+	a.Want(true)
+	if c, ok := a.Next(); !ok || c.Whole || !strings.HasPrefix(c.Query, "index=41&") {
+		t.Fatalf("%+v, %v", c, ok)
+	}
+	if news, err := a.Answered([]byte(`{"version":41,"full":false,"servers":[]}`)); err != nil || !news.Any {
+		t.Errorf("the first word of discovery is no news: %+v, %v", news, err)
+	}
+	if c, ok := a.Next(); !ok || c.Whole {
+		t.Errorf("the watch does not go on: %+v, %v", c, ok)
+	}
+	b := asks(false) // where changes come unasked the whole list costs nothing, and may be newer
+	b.Knows(41)
+	if c, ok := b.Next(); !ok || !c.Whole {
+		t.Errorf("%+v, %v", c, ok)
+	}
+	h := &host{orders: map[uint64][]Order{}}
+	n, err := NewNode(time.Second, testConfig(), h, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v, ok := n.Cached(); !ok || v != 1 {
+		t.Errorf("the list of the configuration has version %d, %v", v, ok)
+	}
+}
+
+// A watch that has fallen silent is opened anew at once: between two watches drains count as told, unheard.
+func TestASilentWatchIsOpenedAnewAtOnce(t *testing.T) {
+	for _, request := range []bool{false, true} {
+		a := asks(request)
+		a.Knows(1)
+		a.Want(true)
+		a.Next()
+		if _, err := a.Answered([]byte(three)); err != nil {
+			t.Fatal(err)
+		}
+		for range ownTries {
+			if c, ok := a.Next(); !ok || c.Whole {
+				t.Fatalf("%+v, %v", c, ok)
+			}
+			if news := a.Failed(true); news.Pause != 0 || news.Any {
+				t.Errorf("on request %v: %+v", request, news)
+			}
+		}
+	}
+}
+
+// A reload that shortens the idle time holds for connections that were kept before it too.
+func TestAKeptConnectionIsUsedWithinTheIdleTimeInForce(t *testing.T) {
+	n, _ := node(t, testConfig())
+	p := NewProbes(n.Settings(), 4)
+	b := n.Backends()[0]
+	pr, step := p.Begin(0, b)
+	if !step.Dial {
+		t.Fatalf("%+v", step)
+	}
+	pr.Dialled(0, "first")
+	if step = pr.Answered(0, "PONG"); step.Keep == nil {
+		t.Fatalf("%+v", step)
+	}
+	shorter := *n.Settings()
+	shorter.IdleClose = time.Second
+	p.Under(&shorter)
+	if _, step = p.Begin(800*time.Millisecond, b); !step.Dial || len(step.Close) != 1 || step.Close[0] != "first" || p.Connections() != 1 {
+		t.Errorf("%+v, %d connections", step, p.Connections())
+	}
+}
--- a/internal/machine/node.go
+++ b/internal/machine/node.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"container/heap"
 	"fmt"
+	"maps"
 	"net/netip"
 	"reflect"
 	"runtime/debug"
@@ -58,6 +59,7 @@
 	Note(now time.Duration, id uint64, kind balance.NoteKind, v float64)
 	Timer(now time.Duration, token uint64)
 	Leave(now, at time.Duration)
+	Expire(now time.Duration, id uint64)
 	Probed(now time.Duration, r balance.Report)
 	Peer(now time.Duration, from int, data []byte)
 	List(now time.Duration, kind balance.ListKind, lines []balance.Backend)
@@ -75,8 +77,10 @@
 	mostGuests   = 256                     // connections without a whole OPEN, however many descriptors there are
 	mostProbes   = 48                      // connections of probes, kept ones included
 	lateArrivals = 600 * time.Millisecond  // the front goes on sending so long after SIGTERM
-	lastWrites   = 50 * time.Millisecond   // an answer that was just given reaches its socket within this
-	lastMoves    = 1500 * time.Millisecond // and the rest is asked to move within this after that
+	mostPatience = 3 * time.Second         // SIGKILL comes no sooner than the longest deadline, or this, and 0.7 s more after SIGTERM
+	afterwards   = 450 * time.Millisecond  // a request that came after SIGTERM ends so long after that deadline: then all are answered,
+	lastWrites   = 50 * time.Millisecond   // an answer or a MOVE that was just given reaches its socket within this
+	lastMoves    = 1500 * time.Millisecond // the rest is asked to move within this after the late arrivals, or within what is left
 	handOver     = 30 * time.Second        // where packets pass through, connections are held until the relay is stopped or so long
 	lookAgain    = 20 * time.Millisecond   // how often a leaving relay looks whether anything is owed
 	mostCalls    = 32                      // connections at the second address
@@ -158,15 +162,18 @@
 	timers   timers
 	timerSeq uint64
 	later    []func()
-	pending  int  // requests that are owed an answer
-	begun    bool // a connection has come that is none from before the start
-	told     bool // discovery itself has given a list
+	pending  int     // requests that are owed an answer
+	begun    bool    // a connection has come that is none from before the start
+	told     bool    // discovery itself has given a list
+	cached   *uint64 // the version of the list that the configuration held at the start; nil: it held none
 	leaveBy  time.Duration
-	names    []string // of all classes by their numbers, dropped ones too
-	sockets  int      // descriptors that there are; 0: not told yet
-	held     int      // and how many of them another process of this relay has
-	drains   uint64   // counts the calls that changed whether clients are sent away
-	draining bool     // they are, as far as the books know
+	answerBy time.Duration // leaving: every answer is given by then; 0: it is not
+	ended    bool          // it has left: who still comes is turned away
+	names    []string      // of all classes by their numbers, dropped ones too
+	sockets  int           // descriptors that there are; 0: not told yet
+	held     int           // and how many of them another process of this relay has
+	drains   uint64        // counts the calls that changed whether clients are sent away
+	draining bool          // they are, as far as the books know
 	ready    atomic.Bool
 	drained  atomic.Bool // they are to be
 	leaving  atomic.Bool
@@ -189,6 +196,7 @@
 	n.meet(cfg.Peers)
 	n.decide(now)
 	if len(known.entries) > 0 {
+		n.cached = &known.version
 		n.Listed(now, known, balance.ListCached)
 	}
 	if cfg.Management != "" || n.watch != nil {
@@ -264,6 +272,14 @@
 // Drained says whether clients are to be sent away, as SetDrained had it last.
 func (n *Node) Drained() bool { return n.drained.Load() }
 
+// Cached is the version of the list that the configuration held at the start, if it held one.
+func (n *Node) Cached() (version uint64, ok bool) {
+	if n.cached == nil {
+		return 0, false
+	}
+	return *n.cached, true
+}
+
 // Balancer is what decides, for checks.
 func (n *Node) Balancer() Decider { return n.balancer }
 
@@ -313,6 +329,7 @@
 	lateTimer         // leaving: the front has surely noticed
 	lookTimer         // leaving: is anything owed?
 	endTimer          // leaving: the last answers are written
+	callTimer         // leaving: the time is up for whoever still waits, or stands and cannot be held
 	drainTimer        // drained: the front has surely noticed
 	figureTimer       // what the module avoids is to be published
 	watchTimer        // of what decides in vain
@@ -367,17 +384,24 @@
 	case moduleTimer:
 		n.balancer.Timer(n.now, t.token)
 	case lateTimer:
-		n.balancer.Leave(n.now, n.now+lastMoves)
+		n.balancer.Leave(n.now, max(n.now, min(n.now+lastMoves, n.answerBy-lastWrites)))
 		n.after(lookTimer, 0, 0)
 	case lookTimer:
-		if n.pending+len(n.flows) == 0 || n.now >= n.leaveBy {
+		if !n.owes() || n.now >= n.leaveBy {
 			n.after(endTimer, 0, lastWrites) // an answer counts as given when its flow is told, not when it is written
 			return
 		}
 		n.after(lookTimer, 0, lookAgain)
 	case endTimer:
+		if n.owes() && n.now < n.leaveBy { // somebody has come since
+			n.after(lookTimer, 0, lookAgain)
+			return
+		}
+		n.ended = true
 		n.log.Info("left")
 		n.host.Left()
+	case callTimer:
+		n.lastCall()
 	case drainTimer:
 		if n.draining && t.token == n.drains && !n.leaving.Load() {
 			n.balancer.Leave(n.now, n.now+drainMoves)
@@ -397,6 +421,23 @@
 
 // --- a relay's life ------------------------------------------------------------
 
+// owes says whether anybody is still to be answered or to end.
+func (n *Node) owes() bool { return n.pending+len(n.flows) > 0 }
+
+// lastCall ends what would outlast this relay: SIGKILL is near. Whoever waits at a backend that hangs, or has longer to
+// wait than there is, hears a last word; whoever stands where connections end here is moved, one that came up just now
+// too. In the order in which they came, which is no matter of chance.
+func (n *Node) lastCall() {
+	for _, seq := range slices.Sorted(maps.Keys(n.flows)) {
+		switch c := n.flows[seq]; {
+		case c != nil && !c.finished:
+			n.balancer.Expire(n.now, seq)
+		case c != nil && !n.set.PassThrough:
+			n.host.Move(seq)
+		}
+	}
+}
+
 // Leave begins to leave: what still arrives is served, every answer owed is given,
 // and clients are asked to move. Where packets pass through, others take a relay's
 // connections over unbroken once it has been stopped; by ending itself while it
@@ -405,9 +446,12 @@
 func (n *Node) Leave(now time.Duration) {
 	patience := time.Duration(0)
 	for _, c := range n.set.Classes {
-		patience = max(patience, c.GiveUp)
+		if !c.Gone { // SIGKILL comes by the settings in force; who came under others has no more time
+			patience = max(patience, c.GiveUp)
+		}
 	}
-	within := min(patience, 3*time.Second) + 500*time.Millisecond
+	answers := min(patience, mostPatience) + afterwards
+	within := answers + lastWrites
 	if n.set.PassThrough {
 		within = handOver
 	}
@@ -417,9 +461,10 @@
 		notice = 0 // the next process takes all who come
 	}
 	n.run(now, func() {
-		n.leaveBy = now + within
+		n.leaveBy, n.answerBy = now+within, now+answers
 		n.memberLeave()
 		n.after(lateTimer, 0, notice)
+		n.after(callTimer, 0, answers)
 	})
 	n.log.Info("leaving", zap.Duration("within", within))
 }
@@ -566,6 +611,10 @@
 		}
 	}()
 	c := &call{seq: f.Seq, id: f.Open.id, class: f.Open.Request.Class, resumed: len(f.Open.at) > 0}
+	if n.ended { // nothing that is begun now would be brought to its end
+		n.host.Order(c.seq, Order{Answer: BusyAnswer(HoldOff(n.set))})
+		return
+	}
 	if n.ids[c.id] != nil { // two answers to one id would be one too many
 		n.reject(c, fmt.Errorf("id %016x is in use", c.id))
 		return
@@ -582,6 +631,12 @@
 	q := f.Open.Request
 	q.ID = c.seq
 	q.Left = f.Open.patience - (n.now - f.Came)
+	if by := n.answerBy; by > 0 { // nobody is to wait here for longer than this relay is there
+		if n.now >= by { // and it still is
+			by = n.leaveBy
+		}
+		q.Left = max(0, min(q.Left, by-n.now))
+	}
 	if !c.resumed {
 		if r := n.cfg.Routes.Pick(route.Request{Class: q.Class, Tenant: q.Tenant, Zone: n.set.Zone,
 			Protocol: route.Line, Group: q.Group, Key: q.Key}); r != nil {
--- a/internal/machine/probes.go
+++ b/internal/machine/probes.go
@@ -25,9 +25,10 @@
 
 // Kept is a connection to a backend that waits for the next question.
 type Kept struct {
-	Conn any // the driver's
-	id   balance.BackendID
-	addr string
+	Conn  any // the driver's
+	id    balance.BackendID
+	addr  string
+	since time.Duration
 }
 
 // Probe is one question on its way.
@@ -82,7 +83,7 @@
 		Report: balance.Report{Backend: b.ID}}
 	if i := slices.IndexFunc(p.idle, func(k *Kept) bool { return k.id == b.ID }); i >= 0 {
 		k := p.take(i)
-		if k.addr == pr.Addr {
+		if k.addr == pr.Addr && now-k.since < p.KeepFor() { // by the settings in force: a reload may have made it shorter
 			pr.conn, pr.reused = k.Conn, true
 			return pr, ProbeStep{Ask: k.Conn}
 		}
@@ -152,7 +153,7 @@
 		step.Close = append(step.Close, pr.conn)
 		return step
 	}
-	step.Keep = &Kept{Conn: pr.conn, id: pr.To.ID, addr: pr.Addr}
+	step.Keep = &Kept{Conn: pr.conn, id: pr.To.ID, addr: pr.Addr, since: now}
 	p.idle = append(p.idle, step.Keep)
 	return step
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -66,7 +66,11 @@
 	}
 	l = newLine(c.(*net.TCPConn))
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	answer, fail = r.exchange(l, a)
+	if ctx.Err() == context.Canceled { // its client left, or was answered, while the dial was out
+		fail = a.Failed(ctx.Err(), true)
+	} else {
+		answer, fail = r.exchange(l, a)
+	}
 	if fail == nil && !stop() {
 		fail = a.Broke(0, true, context.Cause(ctx), true)
 	}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -62,6 +62,9 @@
 	rng := rand.New(rand.NewPCG(d.relay.seed, 0xd15c))
 	for moved := false; ; moved = true {
 		a := machine.NewAgent(d.address, d.relay.settings.Load(), moved, rng)
+		if v, ok := d.relay.node.Cached(); ok && !moved { // versions are an agent's own
+			a.Knows(v)
+		}
 		t := &http.Transport{Proxy: nil, DisableCompression: true, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2,
 			DialContext: (&net.Dialer{Timeout: machine.Lagging}).DialContext}
 		follow, leave := context.WithCancel(ctx)
@@ -109,7 +112,7 @@
 		if err == nil {
 			news, err = a.Answered(body)
 		} else {
-			news = a.Failed()
+			news = a.Failed(timedOut(err))
 		}
 		if err != nil {
 			d.relay.log.Warn("discovery does not answer, the last list stays", zap.String("agent", a.Address),
--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -46,6 +46,7 @@
 // serve drives the connection from its first byte to its end.
 func (f *flow) serve(g *machine.Guest) {
 	begun := false
+	defer f.relay.guests.Done()
 	defer func() {
 		if p := recover(); p != nil {
 			f.relay.log.Error("panic in a flow", zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
@@ -146,14 +147,23 @@
 	f.cancel = func() {}
 	defer func() { f.cancel() }()
 	left := f.left
+	gone := func(spoke bool) {
+		left = nil
+		f.relay.log.Debug("client left while it waited", zap.Bool("spoke", spoke))
+		f.carryOut(f.m.Left(spoke))
+	}
 	for f.m.Waits() {
+		select { // of two that are ready one is taken by chance: nothing is begun for a client that has left
+		case spoke := <-left:
+			gone(spoke)
+			continue
+		default:
+		}
 		select {
 		case o := <-f.orders:
 			f.carryOut(f.m.Order(f.relay.now(), o))
 		case spoke := <-left:
-			left = nil
-			f.relay.log.Debug("client left while it waited", zap.Bool("spoke", spoke))
-			f.carryOut(f.m.Left(spoke))
+			gone(spoke)
 		case r := <-f.results:
 			if r.fail != nil && r.fail.Odd() {
 				f.relay.log.Error("backend answered what the protocol does not know",
--- a/internal/relay/probes.go
+++ b/internal/relay/probes.go
@@ -6,11 +6,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/textproto"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,6 +31,22 @@
 type probeConn struct {
 	net.Conn
 	text *textproto.Reader
+	used bool // a question has been asked on it
+}
+
+// quiet says whether nothing has come on an idle connection, its end included. It does not wait.
+func (c *probeConn) quiet() bool {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil || c.text.R.Buffered() > 0 {
+		return false
+	}
+	var b [1]byte
+	got := error(nil)
+	err = raw.Read(func(fd uintptr) bool {
+		_, got = syscall.Read(int(fd), b[:])
+		return true
+	})
+	return err == nil && errors.Is(got, syscall.EAGAIN)
 }
 
 func newProbes(r *Relay, atOnce int) *probes {
@@ -86,7 +104,7 @@
 				if err != nil {
 					return pr.NoConn(now)
 				}
-				return pr.Dialled(now, &probeConn{conn, textproto.NewReader(bufio.NewReader(conn))})
+				return pr.Dialled(now, &probeConn{Conn: conn, text: textproto.NewReader(bufio.NewReader(conn))})
 			})
 		default:
 			answer, err := p.exchange(step.Ask.(*probeConn), p.relay.at(pr.Deadline))
@@ -100,11 +118,18 @@
 	}
 }
 
-// exchange asks once.
+var errSpent = errors.New("a kept connection that has ended, or holds what nobody asked for")
+
+// exchange asks once. A kept connection is looked at first: on one that its backend has closed the question would be
+// asked for nothing, and what came on one unasked would be taken for this question's answer, and this one's for the next.
 func (p *probes) exchange(c *probeConn, deadline time.Time) (string, error) {
 	if err := c.SetDeadline(deadline); err != nil {
 		return "", err
 	}
+	if c.used && !c.quiet() {
+		return "", errSpent
+	}
+	c.used = true
 	if _, err := io.WriteString(c, p.m.Question()); err != nil {
 		return "", err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -39,7 +40,8 @@
 	flowing   atomic.Int64 // flows that hold descriptors now
 	room      atomic.Int64 // and how many may
 	lobby     *lobby
-	seq       uint64 // the acceptor's: requests' ids
+	guests    sync.WaitGroup // connections from their being accepted to their end
+	seq       uint64         // the acceptor's: requests' ids
 	discovery *discovery
 	probes    *probes
 	peers     *peers
@@ -58,6 +60,10 @@
 	flows map[uint64]*flow
 }
 
+// lastWords is how long the end of those who have just had their last line is waited for: who exits over bytes that
+// nobody has read resets the connection and takes that line along.
+const lastWords = 50 * time.Millisecond
+
 // New checks a configuration and prepares a relay. Nothing listens yet.
 func New(cfg Config, log *zap.Logger) (*Relay, error) {
 	s := cfg.Settings
@@ -205,6 +211,7 @@
 	}
 	_ = r.listener.Close()
 	r.lobby.empty()
+	r.part()
 	cancel()
 	close(stop)
 	<-r.stopped
@@ -226,6 +233,22 @@
 	<-r.parked
 }
 
+// part waits until all connections have ended, or for lastWords. The loop still runs: who has said OPEN just now is
+// turned away by it.
+func (r *Relay) part() {
+	over := make(chan struct{})
+	go func() {
+		r.guests.Wait()
+		close(over)
+	}()
+	enough := time.NewTimer(lastWords)
+	defer enough.Stop()
+	select {
+	case <-over:
+	case <-enough.C:
+	}
+}
+
 // lastArrivals is how long the queue is emptied at the end.
 const lastArrivals = 10 * time.Millisecond
 
@@ -260,6 +283,7 @@
 			orders: make(chan machine.Order, 16), left: make(chan bool, 1), stands: make(chan struct{}),
 			over: make(chan struct{})}
 		g := r.lobby.enter(conn)
+		r.guests.Add(1)
 		go f.serve(g)
 	}
 }
