--- a/cmd/aspenbarrow/main_test.go
+++ b/cmd/aspenbarrow/main_test.go
@@ -666,6 +666,43 @@
 	}
 }
 
+// A second SIGTERM, and a SIGHUP, while the relay leaves end nothing early: who stands is moved, who waits is answered.
+func TestSignalsWhileItLeavesEndNothingEarly(t *testing.T) {
+	hold := make(chan struct{})
+	b := &standin.Backend{Answer: func(open string) []string {
+		if strings.Contains(open, "held=1") {
+			<-hold
+		}
+		return []string{"UP it"}
+	}}
+	p, _, _ := serving(t, setup{}, b)
+	c := p.dial()
+	c.say(open(""))
+	c.hear("UP it")
+	waits := p.dial()
+	waits.say(open(",held=1"))
+	until(t, "it is sent", func() bool { return len(b.Opens()) == 2 })
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		if err := p.cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.logs("configuration read again", 1)
+	p.logs(`"msg":"leaving"`, 1)
+	close(hold)
+	waits.hear("UP it")
+	for _, c := range []*client{c, waits} {
+		c.hear("MOVE")
+		c.ends()
+	}
+	if err := p.ended(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	if n := strings.Count(p.log.String(), `"msg":"leaving"`); n != 1 {
+		t.Errorf("left %d times", n)
+	}
+}
+
 // Where packets pass through, a relay that is told to stop goes on for its connections until it is stopped.
 func TestALeavingRelayHoldsWhatPassesThrough(t *testing.T) {
 	p, _, _ := serving(t, setup{mode: "pass"}, &standin.Backend{})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -206,12 +206,9 @@
 		}
 		r.post(r.node.Leave)
 		<-r.left
-		r.closeDoor()
 	case err = <-accepted:
 	}
-	_ = r.listener.Close()
-	r.lobby.empty()
-	r.part()
+	r.lastOnes(err == nil)
 	cancel()
 	close(stop)
 	<-r.stopped
@@ -233,6 +230,16 @@
 	<-r.parked
 }
 
+// lastOnes ends what is left: who waits in the queue, unless it is lost, and whoever has not said an OPEN, is told BUSY.
+func (r *Relay) lastOnes(queue bool) {
+	if queue {
+		r.closeDoor()
+	}
+	_ = r.listener.Close()
+	r.lobby.empty()
+	r.part()
+}
+
 // part waits until all connections have ended, or for lastWords. The loop still runs: who has said OPEN just now is
 // turned away by it.
 func (r *Relay) part() {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -33,10 +33,10 @@
 		PeerListen: "127.0.0.1:0", Peers: []string{"127.0.0.1:9"}, Known: standin.List(1, list), Settings: s}
 }
 
-// until waits for a condition without a clock of its own.
+// until waits for a condition; between two looks it leaves the cores to what it waits for.
 func until(t *testing.T, what string, ok func() bool) {
 	t.Helper()
-	for deadline := time.Now().Add(patience); !ok(); runtime.Gosched() {
+	for deadline := time.Now().Add(patience); !ok(); <-time.After(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatalf("never: %s", what)
 		}
