Incomplete settings of other customers: no aim for messages, spoilt known entries

Without message-aim-ms, where probes are allowed and no report tells the load, each answer to a probe was held to be late (life.go, quickest 0) and its server passed by as full for two seconds. One spoilt entry in the configuration's known list, and the relay did not start at all (node.go, known). A file without a deadline, an aim or attempts was taken at a start, and turned down only at a reload. Change: where no message aim is told the aim for being set up stands in; of the known list the sound entries are taken, logged, and the whole list is fetched then; a start is held to the same sound settings as a reload, with the key and the reason. Tests: each seen to fail without its mend ("after an answer in 5 ms it did [probe ...]", "backend a has unknown state asleep", "the program does not end").

--- a/balance/life.go
+++ b/balance/life.go
@@ -37,8 +37,12 @@
 	}
 	b.set, b.quickest = s, math.Inf(1)
 	for _, class := range s.Classes {
-		if !class.Gone {
-			b.quickest = min(b.quickest, float64(class.MessageAim)/float64(3*time.Millisecond))
+		aim := class.MessageAim
+		if aim <= 0 { // nobody says; taken as it stands, every answer to a probe would be late and every server full
+			aim = class.OnTime
+		}
+		if !class.Gone && aim > 0 {
+			b.quickest = min(b.quickest, float64(aim)/float64(3*time.Millisecond))
 		}
 	}
 	b.grow(len(s.Classes))
--- a/balance/shape_test.go
+++ b/balance/shape_test.go
@@ -229,3 +229,24 @@
 		t.Errorf("%d connections and %d calls after its answer", all, len(b.calls))
 	}
 }
+
+// Where nobody says how soon a message is wanted, an answer to a probe is no late one because of that: each server would
+// be passed by as full for two seconds after every question.
+func TestWithoutMessageAimsServersThatAnswerAreUsed(t *testing.T) {
+	s := settings()
+	for i := range s.Classes {
+		s.Classes[i].MessageAim = 0
+	}
+	s.Probes, s.Report, s.TellsDelay = true, nil, false
+	b, r := start(t, s, 3)
+	b.Request(sec, Request{ID: 1, Key: 1, Left: 2 * sec})
+	asked := r.take("probe")
+	if len(asked) != 1 {
+		t.Fatalf("did %v", r.did)
+	}
+	r.clear()
+	b.Probed(sec+5*ms, Report{Backend: asked[0].to, Status: OK, Latency: 5 * ms})
+	if got := r.take("send"); len(got) != 1 || got[0].to != asked[0].to {
+		t.Errorf("after an answer in 5 ms it did %v", r.did)
+	}
+}
--- a/cmd/aspenbarrow/main_test.go
+++ b/cmd/aspenbarrow/main_test.go
@@ -757,6 +757,9 @@
 	for name, r := range map[string][2]string{
 		"not JSON":           {`"seed"`, `seed`},
 		"bad seed":           {`8c1f30d27a5be964`, `xyz`},
+		"no deadline":        {`"give-up-ms":2000`, `"gives-up-ms":2000`},
+		"no aim":             {`"on-time-ms":500`, `"on-time-ms":0`},
+		"attempts below one": {`"try-limit":4`, `"try-limit":-4`},
 		"no classes":         {`"classes":[`, `"no-classes":[`},
 		"bad known":          {`"full":true`, `"full":"yes"`},
 		"negative limit":     {`"memory_mb":192`, `"memory_mb":-1`},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -107,6 +107,9 @@
 		return Config{}, fmt.Errorf("seed %q: %w", in.Seed, err)
 	}
 	s, err := settings.Parse(in.Settings)
+	if err == nil && !again { // a reload is held to it by Replaces
+		err = settings.Sound(in.Settings)
+	}
 	if err != nil {
 		return Config{}, err
 	}
--- a/internal/machine/crossings_test.go
+++ b/internal/machine/crossings_test.go
@@ -307,3 +307,24 @@
 		t.Errorf("%+v, %d connections", step, p.Connections())
 	}
 }
+
+// Entries of the configuration's list that cannot be read cost their own backends; the relay starts, and asks for all.
+func TestASpoiltEntryOfTheKnownListCostsItsOwnBackendAlone(t *testing.T) {
+	cfg := testConfig()
+	cfg.Known = []byte(`{"version":4,"full":true,"servers":[{"id":"a","addr":"h:1","state":"asleep"},` +
+		`{"id":"b","addr":"h:2","state":"ready"}]}`)
+	var logged []string
+	n, err := NewNode(time.Second, cfg, &host{orders: map[uint64][]Order{}}, zap.New(logTo(func(msg string) { logged = append(logged, msg) })))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(n.Backends()) != 1 || n.Backends()[0].Name != "b" || len(logged) != 1 {
+		t.Errorf("%d backends, %q", len(n.Backends()), logged)
+	}
+	if v, ok := n.Cached(); ok {
+		t.Errorf("changes since version %d would leave the other out", v)
+	}
+	if err := n.Reload(time.Second, cfg, 256); err == nil {
+		t.Error("taken at a reload")
+	}
+}
