Hand-over: the old process takes clients again if the next dies while it leaves

Symptom: by reading hand-overs line by line. While the old process was on its way out and the next one died, or was told to end, nobody accepted: give (handover.go) looked at Leaving before it took the queue back, and the old one's end reset whoever waited in it. And at the last call of a leaving relay a connection whose UP was out, but not yet heard of by the books, was held to be pending: its cancel came to nothing and it was cut off without MOVE (node.go, lastCall). Ruled out: the old process dying before or after the next one serves, two next ones at once, a next one told to end before its turn. Change: the old one takes the queue back whenever the next has ended, unless it has ended itself; the last call moves every flow where connections end here, which says nothing to one that does not stand. A listener that fails by itself is not waited for. Tests: "never: the next process has ended, this one takes who comes again" and "flow 98 came up at the last moment and is cut off without MOVE" without the mends; two real processes, killed and ended while an answer is owed.

--- a/cmd/aspenbarrow/upgrade_test.go
+++ b/cmd/aspenbarrow/upgrade_test.go
@@ -24,9 +24,12 @@
 	folder string
 }
 
-func newPair(t *testing.T, s setup) *pair {
+func newPair(t *testing.T, s setup, b ...*standin.Backend) *pair {
 	t.Helper()
-	d, list := backends(t, &standin.Backend{}, &standin.Backend{}, &standin.Backend{})
+	if len(b) == 0 {
+		b = []*standin.Backend{{}, {}, {}}
+	}
+	d, list := backends(t, b...)
 	folder, err := os.MkdirTemp("", "ab") // a socket's path is short
 	if err != nil {
 		t.Fatal(err)
@@ -198,6 +201,46 @@
 	old.up(open("")).say("ping")
 }
 
+// The next process dies, or is told to end itself, while the old one is on its way out: nobody took who came then, and
+// the queue was reset when the old one closed it. The old one takes them again for as long as it is there.
+func TestANextProcessThatDiesWhileTheOldOneLeaves(t *testing.T) {
+	for _, s := range []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM} {
+		hold := make(chan struct{})
+		b := &standin.Backend{Answer: func(open string) []string {
+			if strings.Contains(open, "held=1") {
+				<-hold
+			}
+			return []string{"UP it"}
+		}}
+		p := newPair(t, setup{}, b)
+		old := p.next()
+		waits := old.dial()
+		waits.say(open(",held=1"))
+		until(t, "it is sent", func() bool { return len(b.Opens()) == 1 })
+		n := p.next()
+		old.signal(syscall.SIGTERM) // it owes an answer, and stays until that is given
+		old.logs(`"msg":"leaving"`, 1)
+		n.signal(s)
+		if err := n.ended(); (err == nil) != (s == syscall.SIGTERM) {
+			t.Fatal(err)
+		}
+		old.logs("the next process has ended, this one takes who comes again", 1)
+		c := old.dial()
+		c.say(open(""))
+		c.hear("UP it")
+		close(hold)
+		waits.hear("UP it")
+		for _, c := range []*client{c, waits} {
+			c.hear("MOVE")
+			c.ends()
+			_ = c.Close()
+		}
+		if err := old.ended(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // What an old process has left in the folder is no obstacle: killed, it is nobody to take over from.
 func TestLeftoversInTheFolderAreNoObstacle(t *testing.T) {
 	p := newPair(t, setup{})
--- a/internal/machine/crossings_test.go
+++ b/internal/machine/crossings_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -124,14 +125,20 @@
 	n.Opened(f.Came, f)
 	a := f.Order(f.Came, h.orders[99][0]).Try
 	n.Heard(f.Came, 99, f.Tried(f.Came, a, nil).Event)
+	f = greeted(t, n, 98, says(98))
+	f.Came = time.Second + 715*time.Millisecond
+	n.Opened(f.Came, f)
+	unheard := f.Tried(f.Came, f.Order(f.Came, h.orders[98][0]).Try, nil) // UP is out, the books will hear of it
 	h.moved = nil
 	played(n, time.Second+760*time.Millisecond)
-	found := false
-	for _, seq := range h.moved {
-		found = found || seq == 99
+	for _, seq := range []uint64{98, 99} {
+		if !slices.Contains(h.moved, seq) {
+			t.Errorf("flow %d came up at the last moment and is cut off without MOVE", seq)
+		}
 	}
-	if !found {
-		t.Error("what came up at the last moment is cut off without MOVE")
+	n.Heard(time.Second+760*time.Millisecond, 98, unheard.Event)
+	if err := n.Balancer().(*balance.Balancer).Books(); err != nil {
+		t.Error(err)
 	}
 }
 
--- a/internal/machine/node.go
+++ b/internal/machine/node.go
@@ -431,14 +431,15 @@
 
 // lastCall ends what would outlast this relay: SIGKILL is near. Whoever waits at a backend that hangs, or has longer to
 // wait than there is, hears a last word; whoever stands where connections end here is moved, one that came up just now
-// too. In the order in which they came, which is no matter of chance.
+// too, also where these books have not heard of its UP yet. In the order in which they came, which is no matter of chance.
 func (n *Node) lastCall() {
 	for _, seq := range slices.Sorted(maps.Keys(n.flows)) {
-		switch c := n.flows[seq]; {
-		case c != nil && !c.finished:
+		c := n.flows[seq]
+		if !n.set.PassThrough {
+			n.host.Move(seq) // says nothing to one that does not stand
+		}
+		if !c.finished {
 			n.balancer.Expire(n.now, seq)
-		case c != nil && !n.set.PassThrough:
-			n.host.Move(seq)
 		}
 	}
 }
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -419,7 +419,12 @@
 	served := make(chan struct{})
 	defer close(served)
 	defer func() {
-		if !r.node.Leaving() && r.node.SetReplaced(false) {
+		select {
+		case <-r.stopped: // this one has ended, not the other
+			return
+		default:
+		}
+		if r.node.SetReplaced(false) { // also while this one leaves: nobody else is there to take who comes
 			r.log.Warn("the next process has ended, this one takes who comes again")
 			r.park(false)
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -197,8 +197,10 @@
 	r.log.Info("serving", zap.Stringer("address", r.listener.Addr()), zap.Int64("flows", r.room.Load()),
 		zap.String("discovery", agent), zap.String("management", second))
 	var err error
+	asked := false
 	select {
 	case <-ctx.Done():
+		asked = true
 		if r.legacy.alive() { // it goes on, and takes who comes from now on
 			r.node.SetReplaced(true)
 			_ = r.listener.SetDeadline(time.Unix(1, 0))
@@ -208,7 +210,7 @@
 		<-r.left
 	case err = <-accepted:
 	}
-	r.lastOnes(err == nil)
+	r.lastOnes(asked)
 	cancel()
 	close(stop)
 	<-r.stopped
