A dial that is given up has not run: refused, not failed, and nothing against its backend

Symptom: by the table of crossings, row SIGTERM and a dial under way: an attempt given up before its line was out counted as cancelled, which may have run (attempt.go, status). A request that may not be repeated was then answered ERR though nothing of it had left this relay, and a second copy was not made for it. Ruled out: where the line is out, whole, it stays cancelled. Change: given up before the last byte it counts as not asked (moot). Test: a dial held back by a full queue while the relay leaves; without the mend "heard ERR, want BUSY".

--- a/internal/machine/attempt.go
+++ b/internal/machine/attempt.go
@@ -55,6 +55,8 @@
 // the attempt cannot have run.
 func (e *AttemptError) status() balance.Status {
 	switch {
+	case e.stopped && (e.stage == unsent || e.stage == written): // given up, and no word against the backend either
+		return balance.Moot
 	case e.stopped:
 		return balance.Cancelled
 	case e.stage == unsent || e.stage == written:
--- a/internal/machine/protocol_test.go
+++ b/internal/machine/protocol_test.go
@@ -259,6 +259,8 @@
 		{AttemptError{stage: waited}, balance.Reset, true},
 		{AttemptError{stage: waited, timeout: true}, balance.Timeout, true},
 		{AttemptError{stage: waited, stopped: true}, balance.Cancelled, true},
+		{AttemptError{stage: written, wrote: 12, stopped: true}, balance.Moot, false},
+		{AttemptError{stage: unsent, stopped: true}, balance.Moot, false},
 		{AttemptError{stage: answered, answer: busy}, balance.Full, false},
 		{AttemptError{stage: answered, answer: failed}, balance.Error, true},
 		{AttemptError{stage: answered, answer: moved}, balance.Cancelled, true},
--- a/internal/relay/crossings_test.go
+++ b/internal/relay/crossings_test.go
@@ -480,6 +480,38 @@
 	}
 }
 
+// The dial is still out when the time is up: nothing has run, so even what may not be repeated is refused, not failed.
+func TestSIGTERMRefusesWhoseDialIsOut(t *testing.T) {
+	for _, pass := range []bool{false, true} {
+		t.Run(fmt.Sprint(pass), func(t *testing.T) {
+			t.Parallel()
+			addr, empty := full(t)
+			cfg := bare("127.0.0.1:9", standin.Entry{ID: "s-0", Addr: addr, Zone: "east", State: "ready", Weight: 1})
+			s := &cfg.Settings
+			s.PassThrough, s.DialTimeout, s.Classes[0].GiveUp, s.Classes[0].Effect = pass, 9*time.Second, 9*time.Second, balance.Unsafe
+			r, term, ended := running(t, cfg)
+			c := opens(t, r, 1, "")
+			until(t, "its dial is out", r.holds(1))
+			at := time.Now()
+			term()
+			c.hears("BUSY")
+			c.ends()
+			_ = c.Close()
+			if took := time.Since(at); took > 3700*time.Millisecond {
+				t.Errorf("answered %v after SIGTERM, SIGKILL may come after 3.7 s", took)
+			}
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+			l := empty()
+			_ = l.SetDeadline(time.Now().Add(time.Second)) // a SYN that was out would be repeated within it
+			if late, err := l.Accept(); err == nil {
+				t.Errorf("a dial goes on after the relay's end: %v", late.RemoteAddr())
+			}
+		})
+	}
+}
+
 // Short deadlines: every standing client is moved before SIGKILL, which comes a second after SIGTERM.
 func TestSIGTERMMovesAllWithShortDeadlines(t *testing.T) {
 	b := &standin.Backend{}
