A standing connection whose client has left is not tried again: forced on sockets

Cause: the row was open in docs/crossings.md: a connection from before the start is tried again every 250 ms at the backend that holds it, and the client may leave in the pause.

--- a/internal/relay/crossings_test.go
+++ b/internal/relay/crossings_test.go
@@ -426,6 +426,32 @@
 	}
 }
 
+// A connection from before the start is tried again and again at the backend that holds it, until its client leaves.
+func TestAStandingClientThatLeavesIsNotTriedAgain(t *testing.T) {
+	t.Parallel()
+	for _, way := range ways {
+		t.Run(way.name, func(t *testing.T) {
+			t.Parallel()
+			b := newScripted(t)
+			r, _, _ := running(t, bare("127.0.0.1:9", b.entry("s-0")))
+			c := opens(t, r, 1, ",at=s-0")
+			for range 2 { // it says that it is not ready yet
+				try := b.accept()
+				try.asked("OPEN")
+				try.says("BUSY\r\n")
+				try.over()
+				_ = try.Close()
+			}
+			leaves(t, r, c, way.how)
+			_ = b.l.SetDeadline(time.Now().Add(2 * leavingTime)) // twice the pause
+			if try, err := b.l.Accept(); err == nil {
+				got, _ := bufio.NewReader(try).ReadString('\n')
+				t.Errorf("the backend was sent %q", got)
+			}
+		})
+	}
+}
+
 func TestTwoHundredThatLeaveAtOnceLeaveNothingBehind(t *testing.T) {
 	t.Parallel()
 	for _, way := range ways {
