A leaving relay shuts its door before its end, and takes in the whole queue first

Cause: since the end is looked at again, a relay to which clients keep coming stays until its time is up and takes them in to the last (node.go, lookTimer). And by reading: an acceptor that was busy while the door closed found its time over with others still in the queue, which was then reset (relay.go, closeDoor). Ruled out: the limits of descriptors, and the module (no list, limit or budget refused anything there). Change: the door is shut when the end is set, while who was taken in is still served; the acceptor is parked first, then the queue is emptied for 10 ms in all. Left out on the virtual clock: there the end waits for who comes.

--- a/internal/machine/machine_test.go
+++ b/internal/machine/machine_test.go
@@ -133,6 +133,7 @@
 	follows []string
 	shares  []Shares
 	left    int
+	doors   int
 	moved   []uint64
 }
 
@@ -147,6 +148,7 @@
 func (h *host) Ask(watch bool)                  { h.asked = append(h.asked, watch) }
 func (h *host) Follow(address string)           { h.follows = append(h.follows, address) }
 func (h *host) Limits(s Shares)                 { h.shares = append(h.shares, s) }
+func (h *host) Door()                           { h.doors++ }
 func (h *host) Left()                           { h.left++ }
 
 // last is where a flow was sent last.
--- a/internal/machine/node.go
+++ b/internal/machine/node.go
@@ -125,6 +125,7 @@
 	Limits(s Shares)
 	Settings(s *settings.Settings) // in force from now on; what is under others keeps them
 	Ready()                        // there is a list, for the first time
+	Door()                         // nobody else is taken in: the end is near; it may be said again
 	Left()                         // nothing is owed any more: the relay may end
 }
 
@@ -393,6 +394,7 @@
 		n.after(lookTimer, 0, 0)
 	case lookTimer:
 		if !n.owes() || n.now >= n.leaveBy {
+			n.host.Door()
 			n.after(endTimer, 0, lastWrites) // an answer counts as given when its flow is told, not when it is written
 			return
 		}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -95,6 +95,7 @@
 func (h host) Ask(watch bool)                  { h.discovery.ask(watch) }
 func (h host) Follow(address string)           { h.discovery.move(address) }
 func (h host) Ready()                          { close(h.listed) }
+func (h host) Door()                           { h.door.Do(func() { go h.shutDoor() }) }
 func (h host) Left()                           { close(h.left) }
 
 func (h host) Settings(s *settings.Settings) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -41,7 +41,7 @@
 	room      atomic.Int64 // and how many may
 	lobby     *lobby
 	guests    sync.WaitGroup // connections from their being accepted to their end
-	seq       uint64         // the acceptor's: requests' ids
+	seq       atomic.Uint64  // requests' ids
 	discovery *discovery
 	probes    *probes
 	peers     *peers
@@ -53,6 +53,8 @@
 	serving   atomic.Bool   // who comes is taken
 	unpark    chan struct{} // the acceptor is to look again
 	parked    chan struct{} // the acceptor waits
+	door      sync.Once     // is shut once
+	shut      chan struct{} // closed when it is
 	spare     atomic.Int64  // descriptors of probes and of the second address
 
 	// The loop's own.
@@ -70,7 +72,7 @@
 	r := &Relay{started: cfg, seed: cfg.Seed, log: log, start: time.Now(), events: make(chan func(time.Duration), 1024),
 		stopped: make(chan struct{}), left: make(chan struct{}),
 		flows: map[uint64]*flow{}, drains: make(chan struct{}, 1), listed: make(chan struct{}), unpark: make(chan struct{}, 1),
-		parked: make(chan struct{}, 1)}
+		parked: make(chan struct{}, 1), shut: make(chan struct{})}
 	r.settings.Store(&s)
 	r.born = time.Duration(r.start.UnixNano())
 	shares := machine.Deal(descriptors(cfg.Sockets), cfg.MemoryMB, cfg.Management != "")
@@ -218,24 +220,45 @@
 	return err
 }
 
+// shutDoor takes nobody else in: from here on, where another process shares the address, all come to that one. The loop
+// has it done while what has been taken in is still served, so that hardly anybody is left to be turned away at the end.
+func (r *Relay) shutDoor() {
+	defer close(r.shut)
+	r.closeDoor()
+	_ = r.listener.Close()
+}
+
 // closeDoor takes in whoever still waits in the queue, so that they hear a last word: closing the socket over
-// them would reset them. While another process has the queue as well it is left to that one.
+// them would reset them. While another process has the queue as well it is left to that one. The acceptor is parked
+// first: it may be busy with one of them, and would find its time over with the others still there.
 func (r *Relay) closeDoor() {
 	if r.node.Replaced() || !r.serving.Load() {
 		return
 	}
+	_ = r.listener.SetDeadline(time.Unix(1, 0))
+	busy := time.NewTimer(lastWords)
+	defer busy.Stop()
 	select {
-	case <-r.parked: // of a time when a next process came and went
-	default:
+	case <-r.parked:
+	case <-busy.C:
+	case <-r.stopped:
+		return
+	}
+	_ = r.listener.SetDeadline(time.Now().Add(lastArrivals)) // in all: there may be no end of them
+	for {
+		conn, err := r.listener.AcceptTCP()
+		if err != nil {
+			return
+		}
+		r.take(conn)
 	}
-	_ = r.listener.SetDeadline(time.Now().Add(lastArrivals))
-	<-r.parked
 }
 
 // lastOnes ends what is left: who waits in the queue, unless it is lost, and whoever has not said an OPEN, is told BUSY.
 func (r *Relay) lastOnes(queue bool) {
 	if queue {
-		r.closeDoor()
+		host{r}.Door()
+		<-r.shut
 	}
 	_ = r.listener.Close()
 	r.lobby.empty()
@@ -258,7 +281,7 @@
 	}
 }
 
-// lastArrivals is how long the queue is emptied at the end.
+// lastArrivals is how long the queue is emptied at the end, all in all.
 const lastArrivals = 10 * time.Millisecond
 
 // accept takes connections in, all of them at once: who has no whole OPEN yet is
@@ -277,6 +300,10 @@
 				}
 				select {
 				case <-r.unpark:
+					select {
+					case <-r.parked: // no more
+					default:
+					}
 					continue
 				case <-r.stopped:
 					return nil
@@ -286,17 +313,21 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		_ = conn.SetDeadline(time.Now().Add(machine.FirstLine))
-		r.seq++
-		f := &flow{relay: r, client: newLine(conn), m: machine.NewFlow(r.seq, r.settings.Load(), r.node.Ledger()),
-			orders: make(chan machine.Order, 16), left: make(chan bool, 1), stands: make(chan struct{}),
-			over: make(chan struct{})}
-		g := r.lobby.enter(conn)
-		r.guests.Add(1)
-		go f.serve(g)
+		r.take(conn)
 	}
 }
 
+// take has a connection served.
+func (r *Relay) take(conn *net.TCPConn) {
+	_ = conn.SetDeadline(time.Now().Add(machine.FirstLine))
+	f := &flow{relay: r, client: newLine(conn), m: machine.NewFlow(r.seq.Add(1), r.settings.Load(), r.node.Ledger()),
+		orders: make(chan machine.Order, 16), left: make(chan bool, 1), stands: make(chan struct{}),
+		over: make(chan struct{})}
+	g := r.lobby.enter(conn)
+	r.guests.Add(1)
+	go f.serve(g)
+}
+
 // admit counts a flow in, unless the limits are reached.
 func (r *Relay) admit() bool {
 	if r.flowing.Add(1) > r.room.Load() {
--- a/internal/world/relay.go
+++ b/internal/world/relay.go
@@ -162,6 +162,9 @@
 	r.probes.Resize(s.Probes)
 }
 
+// Door changes nothing here: who comes before the end is served, and the end waits for it.
+func (r *relay) Door() {}
+
 func (r *relay) Left() {
 	if r.w.trace != nil {
 		r.w.note("%s left", r.name)
