Late messages count as told only once one is: full servers do not pass for sound

Ruled out: the reader of lines (all lines were logged as they came); the pace of attempts (7 refusals of 3,400); tries, budget. Lines at fault: Node told the module that late messages are told (node.go, decide); recover then asks no server without a limit how full it is, and Probed takes no report for a reason to limit one (balance.go). Change: that promise is believed once a first such line has come (Node.believed); until then reports tell. The module is as it was. Tests: ServersOverTheirCapacityAreRelieved (without: 'twelve seconds over their capacity, and nobody was asked to move') and ALoadLineIsTheNote, which now looks before and after the first line and over reloads.

--- a/internal/machine/machine_test.go
+++ b/internal/machine/machine_test.go
@@ -248,18 +248,25 @@
 	}
 }
 
-// noted is a Decider that keeps the notes it hears.
+// noted is a Decider that keeps the notes it hears, and whether it was told by then to wait for late messages.
 type noted struct {
 	Decider
 	notes *[]string
+	waits *bool
 }
 
 func (d noted) Note(_ time.Duration, _ uint64, kind balance.NoteKind, v float64) {
 	*d.notes = append(*d.notes, fmt.Sprint(kind, " ", v))
 }
 
+func (d noted) Retune(s balance.Settings) {
+	*d.waits = s.TellsDelay
+	d.Decider.Retune(s)
+}
+
 // A LOAD line does not say what it measures; the settings do. A message's milliseconds at a late backend
-// taken for a connection's load would swell T there.
+// taken for a connection's load would swell T there. That late messages are told is believed once one is:
+// 26 days of the bench promise it and tell none, and each server over its capacity passed for a sound one.
 func TestALoadLineIsTheNoteThatTheSettingsPromise(t *testing.T) {
 	for _, tc := range []struct {
 		load, delay bool
@@ -268,26 +275,81 @@
 		cfg := testConfig()
 		cfg.Settings.TellsLoad, cfg.Settings.TellsDelay = tc.load, tc.delay
 		var notes []string
-		var told bool
+		var waits bool
 		cfg.Decide = func(now time.Duration, seed uint64, s balance.Settings, do balance.Actions) Decider {
-			told = s.TellsDelay
-			return noted{balance.New(now, seed, s, do), &notes}
+			waits = s.TellsDelay
+			return noted{balance.New(now, seed, s, do), &notes, &waits}
 		}
 		n, _ := node(t, cfg)
 		f := greeted(t, n, 1, "OPEN 0000000000000001 0000000000000007 c=chat,d=1000\r\n")
 		n.Opened(time.Second, f)
 		f.down.began = true // its UP is through
-		_, ev, err := f.FromBackend([]byte("LOAD 412.5\r\n"))
-		if err != nil || ev.Kind != Told {
-			t.Fatal(ev, err)
+		reload := n.Config()
+		reload.Settings.MaxRetryAfter++
+		for _, told := range []bool{false, true} {
+			if told {
+				_, ev, err := f.FromBackend([]byte("LOAD 412.5\r\n"))
+				if err != nil || ev.Kind != Told {
+					t.Fatal(ev, err)
+				}
+				n.Heard(time.Second, 1, ev)
+			}
+			for range 2 { // before a reload and after it, which must not change it
+				if want := told && tc.delay && !tc.load; waits != want {
+					t.Errorf("load %v, delay %v, told %v: the module waits for late messages: %v", tc.load, tc.delay, told, waits)
+				}
+				reload.Settings.MaxRetryAfter++
+				if err := n.Reload(time.Second, reload, 256); err != nil {
+					t.Fatal(err)
+				}
+			}
 		}
-		n.Heard(time.Second, 1, ev)
-		if !slices.Equal(notes, []string{tc.want}) || told != (tc.delay && !tc.load) {
-			t.Errorf("load %v, delay %v: notes %q, the module waits for late messages: %v", tc.load, tc.delay, notes, told)
+		if !slices.Equal(notes, []string{tc.want}) {
+			t.Errorf("load %v, delay %v: notes %q", tc.load, tc.delay, notes)
 		}
 	}
 }
 
+// Servers over their capacity whose late messages nobody tells, though the settings promise it: what they report is what
+// tells of them, and this relay's connections there are moved on.
+func TestServersOverTheirCapacityAreRelievedWhereNoNoteComes(t *testing.T) {
+	cfg := testConfig()
+	cfg.Settings.TellsLoad, cfg.Settings.TellsDelay, cfg.Settings.Probes = false, true, true
+	cfg.Settings.Report = []balance.Field{balance.FieldLoadShare}
+	n, h := node(t, cfg)
+	now := time.Second
+	full := func() { // each server that is asked says that it has twice what it can do
+		for len(h.probed) > 0 {
+			b := h.probed[0]
+			h.probed = h.probed[1:]
+			n.Probed(now, balance.Report{Backend: b, Load: []float32{2}, Latency: time.Millisecond})
+		}
+	}
+	for id := uint64(1); id <= 24; id++ {
+		f := greeted(t, n, id, fmt.Sprintf("OPEN %016x %016x c=chat,d=1000\r\n", id, id))
+		n.Opened(now, f)
+		for range 12 {
+			full()
+			if len(h.orders[id]) > 0 {
+				break
+			}
+			now += 60 * time.Millisecond
+			n.Due(now)
+		}
+		if o := h.orders[id]; len(o) > 0 && o[0].To != nil {
+			n.Heard(now, id, Event{Kind: Stood, Outcome: balance.Outcome{ID: id, Backend: o[0].To.ID}})
+		}
+	}
+	for range 12 {
+		now += time.Second
+		n.Due(now)
+		full()
+	}
+	if len(h.moved) == 0 {
+		t.Error("twelve seconds over their capacity, and nobody was asked to move")
+	}
+}
+
 // Any backend but its own resets a connection that comes mid-flow; that is no failure of the backend's.
 func TestAResetMidFlowIsNotHeldAgainstTheBackend(t *testing.T) {
 	for _, mid := range []string{",mid=1", ""} {
--- a/internal/machine/members.go
+++ b/internal/machine/members.go
@@ -33,7 +33,7 @@
 		if n.members != nil {
 			n.members = nil
 			n.hear(0)
-			n.balancer.Retune(n.set.Settings)
+			n.balancer.Retune(n.believed())
 		}
 		return
 	}
--- a/internal/machine/node.go
+++ b/internal/machine/node.go
@@ -171,6 +171,7 @@
 	leaveBy  time.Duration
 	answerBy time.Duration // leaving: every answer is given by then; 0: it is not
 	ended    bool          // it has left: who still comes is turned away
+	noted    bool          // a LOAD line has told of a late message, as the settings promise
 	names    []string      // of all classes by their numbers, dropped ones too
 	sockets  int           // descriptors that there are; 0: not told yet
 	held     int           // and how many of them another process of this relay has
@@ -220,9 +221,9 @@
 		do = seen{actions{n}, w}
 	}
 	if cfg.Decide != nil {
-		n.balancer = cfg.Decide(now, cfg.Seed, n.set.Settings, do)
+		n.balancer = cfg.Decide(now, cfg.Seed, n.believed(), do)
 	} else {
-		n.balancer = balance.New(now, cfg.Seed, n.set.Settings, do)
+		n.balancer = balance.New(now, cfg.Seed, n.believed(), do)
 	}
 	if cfg.Watch != nil {
 		w.begin(now, n.balancer)
@@ -240,6 +241,15 @@
 	return s
 }
 
+// believed are the settings that the decisions go by. That backends tell of late messages is believed once one has:
+// where they are only said to and none ever does, every server over its capacity would pass for a sound one, for none
+// is asked how full it is while no note speaks against it, and what it holds stays late for as long as it stands.
+func (n *Node) believed() balance.Settings {
+	s := n.set.Settings
+	s.TellsDelay = s.TellsDelay && n.noted
+	return s
+}
+
 // known reads the list that a configuration holds, if any, by the names in force.
 func (c *Config) known(names *settings.Settings) (l Members, spoilt, err error) {
 	if len(c.Known) == 0 {
@@ -542,7 +552,7 @@
 			changed = append(changed, "settings") // what is open keeps those that it was taken under
 			n.set, n.names = &set, names
 			n.book.name(names)
-			n.balancer.Retune(set.Settings)
+			n.balancer.Retune(n.believed())
 			n.host.Settings(n.set)
 		}
 		if !cfg.Routes.Equal(was.Routes) {
@@ -710,6 +720,11 @@
 // load, a late message's milliseconds raise T by orders of magnitude on the very backend that is late.
 func (n *Node) note(c *call, v float64) {
 	if n.set.TellsDelay {
+		if !n.noted {
+			n.noted = true
+			n.log.Info("backends tell of late messages", zap.String("first", c.holder))
+			n.balancer.Retune(n.believed())
+		}
 		n.balancer.Note(n.now, c.seq, balance.NoteDelay, v)
 		return
 	}
--- a/internal/machine/watch.go
+++ b/internal/machine/watch.go
@@ -135,7 +135,7 @@
 	n := w.node
 	w.Decider, w.flows, w.differs, w.logged = real, map[uint64]*watchedFlow{}, map[balance.BackendID]WatchKind{}, now
 	n.book.watch.Store(&watchBook{})
-	w.safely(func() { w.other = balance.New(now, n.cfg.Seed, n.cfg.Watch.over(n.set.Settings), shadow{w}) })
+	w.safely(func() { w.other = balance.New(now, n.cfg.Seed, n.cfg.Watch.over(n.believed()), shadow{w}) })
 	n.log.Info("watching: the settings of another shape decide in vain", zap.Any("shape", n.cfg.Watch))
 }
 
