A change is heard within 6 s after any failures of discovery, lists asked for included

Symptom, by reading and then on sockets: where lists come on request, after five failed calls the agent let its watch lapse and the module's own pause doubled up to half of ask-every, times up to 1.5; with ask-every at a minute a drain that discovery had and could tell was acted on after 13.2 s (term: 6 s, before all older sentences). Ruled out: lists that are pushed (pauses below 1.5 s there); silent watches (opened anew at once); the driver's queue of asks. Lines at fault: Agent.Failed, which gave up after ownTries and left it to Balancer.List. Change: the agent never lets its watch lapse; pauses stay below 1.5 s for both ways of lists, and the longest way (a call of 2.5 s that breaks off at its end, a pause of 1.5 s, a whole list of 1 s: 5 s) is derived in one place and held against 6 s, less a second, when the program is compiled. Calls that fail at once: one a second and relay in the mean, so 350 a second from 350 relays.

--- a/internal/machine/agent.go
+++ b/internal/machine/agent.go
@@ -26,9 +26,24 @@
 	watchWait = 2 * time.Second       // short: an unheard change counts as told soon after it
 	leastWait = 50 * time.Millisecond // between calls that fail; with jitter, doubling
 	mostWait  = time.Second
-	ownTries  = 4 // calls that fail are made again so often before the module hears of it, where lists come on request
 )
 
+// What discovery has counts as told so long after it had it and could be reached, whatever became of the calls before:
+// of lists that are pushed and of those that are asked for.
+const toldWithin = 6 * time.Second
+
+// worstTold is the longest way there: a call that was made just too early and breaks off at the end of its time, the
+// longest pause, and a call that brings the whole list. Each length is below; that they fit, with a second to spare for
+// the way to the books, is held when this is compiled.
+const (
+	mostPause = mostWait / 2 * 3
+	worstTold = watchWait + Lagging + mostPause + wholeLimit
+	_         = uint64(toldWithin - time.Second - worstTold)
+)
+
+// wholeLimit is the time of a call that waits for nothing.
+const wholeLimit = 2 * Lagging
+
 // Members is one answer of discovery.
 type Members struct {
 	version uint64
@@ -155,7 +170,6 @@
 	fetch    bool // for the whole list
 	whole    bool // of the call that is out
 	heard    bool // some answer has come
-	fails    int  // calls in a row that failed
 	wait     time.Duration
 }
 
@@ -196,7 +210,7 @@
 	a.whole = !a.have || a.fetch || !a.watching
 	a.asked, a.wanted, a.fetch = false, false, false
 	if a.whole {
-		return Call{Path: "/catalog/members", Limit: 2 * Lagging, Whole: true}, true
+		return Call{Path: "/catalog/members", Limit: wholeLimit, Whole: true}, true
 	}
 	return Call{Path: "/catalog/members", Query: "index=" + strconv.FormatUint(a.version, 10) + "&wait=" +
 		strconv.FormatInt(watchWait.Milliseconds(), 10), Limit: watchWait + Lagging}, true
@@ -223,7 +237,7 @@
 	}
 	// An agent whose versions go back has begun anew: what it knew in between was told to nobody.
 	a.have = l.full || l.version >= a.version
-	a.wait, a.fails, a.version = leastWait, 0, l.version
+	a.wait, a.version = leastWait, l.version
 	n := News{Members: l, Kind: balance.ListDelta, Any: a.whole || l.full || len(l.entries) > 0 || !a.heard}
 	a.heard = true
 	if l.full {
@@ -234,12 +248,10 @@
 
 // Failed hears that a call brought nothing; silent says that its time ran out. It is made again soon: a watch goes on
 // if the next call comes within 200 ms, and one that has fallen silent is broken and is opened anew at once, which its
-// own time paces. Where lists come on request and further calls fail too the module is told and asks in its own time.
+// own time paces. However many fail in a row the watch does not lapse and the pause stays within mostPause: where lists
+// come on request too, a change counts as told toldWithin after it could be heard. A relay whose calls fail at once
+// makes one a second; 350 relays make as many calls a second at discovery as there are of them, all together.
 func (a *Agent) Failed(silent bool) News {
-	if a.fails++; a.set.ListOnRequest && a.fails > ownTries {
-		a.watching, a.fails, a.wait = false, 0, leastWait
-		return News{Kind: balance.ListFailed, Any: true}
-	}
 	if a.again(); silent {
 		return News{}
 	}
@@ -252,7 +264,7 @@
 	a.fetch = a.fetch || a.whole
 }
 
-// backOff is the pause before the next call, longer each time in a row.
+// backOff is the pause before the next call, longer each time in a row, and below mostPause.
 func (a *Agent) backOff() time.Duration {
 	pause := a.wait/2 + time.Duration(a.rng.Int64N(int64(a.wait)))
 	a.wait = min(2*a.wait, mostWait)
