What may not be repeated passes by servers that report errors

Symptom: a class that may not simply be repeated loses for good each request that meets a failing server; the others try again. Lines at fault: nothing in balance.go read the errors a second that reports hold; each relay found each server by itself (judge). Change: a request whose class is not safe passes by at most two servers that report errors on more than one attempt in twenty, by a report of late (shun, failing). A safe one goes as before. Room: attempts allowed are settled when a request comes (newCall).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -4,6 +4,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -26,6 +27,7 @@
 	portion    = 16               // or such a part of the fleet while it has room
 	askers     = 8                // one relay in so many asks a given server while a report is old
 	shunning   = 4                // how much likelier than it was late a kind is passed by
+	fewOf      = 20               // errors on one attempt in so many are few
 	shunned    = 2                // so many servers are passed by where they can be asked first
 	speakers   = 10               // one server in so many may speak for the fleet
 	lateSpan   = 4 * beat         // a server counts as late for so long
@@ -206,7 +208,7 @@
 		return
 	}
 	s := b.place(now, c)
-	for s != nil && b.shun(s, c) {
+	for s != nil && b.shun(now, s, c) {
 		s = b.place(now, c)
 	}
 	if s == nil || b.overShare(c) || now < b.due { // past what all bear: more would sink those they hold
@@ -237,20 +239,10 @@
 
 // earns is what a request adds to the budget of attempts. Where a file sets it, a retry earns nothing.
 func (b *Balancer) earns(c *call) float64 {
-	switch {
-	case c.Timing.Budget <= 0:
-		return 0.2
-	case c.Repeat:
+	if c.Repeat && c.Timing.Budget > 0 {
 		return 0
 	}
-	return c.Timing.Budget
-}
-
-func (b *Balancer) tryLimit(c *call) int {
-	if n := c.Timing.Attempts; n > 0 {
-		return min(n, c.most)
-	}
-	return c.most
+	return cmp.Or(max(0, c.Timing.Budget), 0.2)
 }
 
 // again makes a further attempt, after a pause where the timing says so that does not outlast the request.
@@ -283,7 +275,7 @@
 	if t <= 0 || !b.set.Cancel || c.cut || c.tries != 1 || now-c.sent < t {
 		return
 	}
-	if b.tryLimit(c) < 2 || b.budget < 1 {
+	if c.most < 2 || b.budget < 1 {
 		return
 	}
 	after := *c
@@ -296,18 +288,26 @@
 
 // shun says whether a returning client passes by a server that this relay hears nothing of: the likelier, the
 // more often its kind was late, twice that where none can be asked. Each relay would send it home in turn.
-func (b *Balancer) shun(s *server, c *call) bool {
+func (b *Balancer) shun(now time.Duration, s *server, c *call) bool {
 	chance, most := shunning*b.kindOf(s).lateness(), shunned
 	if !b.set.Probes {
 		chance, most = 2*chance, len(c.shunned)
 	}
-	if !c.Back || c.MidFlow || s.n > 0 || c.shuns >= most || b.rng.Float64() >= chance {
+	if c.MidFlow || c.shuns >= most ||
+		!b.failing(now, s, c) && (!c.Back || s.n > 0 || b.rng.Float64() >= chance) {
 		return false
 	}
 	c.shunned[c.shuns], c.shuns = s, c.shuns+1
 	return true
 }
 
+// failing says whether a server reports errors on more than a few of the attempts made there. What may not be
+// repeated passes it by: each of many relays would find that out by one of those, which is lost then.
+func (b *Balancer) failing(now time.Duration, s *server, c *call) bool {
+	made := float64(b.set.Relays) / max(b.pace, b.set.Tick).Seconds() / float64(len(b.ready)) // a second
+	return b.set.Classes[c.Class].Effect != Safe && b.reported(now, s) && s.errs > made/fewOf
+}
+
 // ask holds a connection until its server has answered a probe, where this relay has no word of it of late.
 // Among many relays each has connections on few servers: the others may be full unseen.
 func (b *Balancer) ask(now time.Duration, s *server, c *call) bool {
@@ -419,7 +419,7 @@
 	switch {
 	case c.done || o.Closed || c.began:
 		b.finish(c)
-	case c.tries >= b.tryLimit(c) || now+b.set.Tick >= c.deadline || b.budget < 1 || now < b.due:
+	case c.tries >= c.most || now+b.set.Tick >= c.deadline || b.budget < 1 || now < b.due:
 		b.answer(now, c)
 	default:
 		b.budget--
@@ -692,7 +692,7 @@
 			b.relieve(s, s.limit)
 		}
 	}
-	s.told = told
+	s.told, s.errs = told, b.errors(r)
 	b.answered(now, s, full)
 }
 
--- a/balance/books.go
+++ b/balance/books.go
@@ -37,6 +37,7 @@
 	bears   float64       // overload: the T that it had when that began
 	full    float64       // its last report's load over capacity; 0: none
 	told    bool          // by that report
+	errs    float64       // errors a second, by that report
 	since   int           // connections that it got from here since
 	heard   time.Duration // when it last answered a probe, or was given up on
 	busy    bool          // stands in the list of that name
@@ -132,6 +133,14 @@
 	}
 }
 
+// errors is how many a second a report tells of, 0 where it tells of none.
+func (b *Balancer) errors(r Report) float64 {
+	if r.Status != OK || b.errs < 0 || b.errs >= len(r.Load) {
+		return 0
+	}
+	return sane(float64(r.Load[b.errs]))
+}
+
 // stray takes in a reset and says whether it stands alone: none came within a beat before it. A server
 // in trouble resets one connection after the other, one that has died all at once.
 func (s *server) stray(now time.Duration) bool {
@@ -155,6 +164,7 @@
 type Balancer struct {
 	taken    []int   // connections by tenant
 	here     int     // relays that are there; 0: nobody says
+	errs     int     // where a load report tells errors a second; below 0: nowhere
 	share    int     // where a load report tells load over capacity; below 0: nowhere
 	budget   float64 // attempts beyond the first that requests may still make
 	set      Settings
@@ -216,6 +226,9 @@
 	if t := r.Timing.Total; t > 0 {
 		c.deadline = min(c.deadline, now+t)
 	}
+	if n := r.Timing.Attempts; n > 0 {
+		c.most = min(c.most, n)
+	}
 	switch {
 	case b.set.Groups && r.Group != 0: // every server that holds any of a group pays for all of it
 		c.key, c.grouped = mix(r.Group), true
--- a/balance/life.go
+++ b/balance/life.go
@@ -17,7 +17,8 @@
 		servers: map[BackendID]*server{}, calls: map[uint64]*call{}, divert: map[uint64]diversion{}, demand: map[uint64]float64{},
 		kinds: map[int]*kind{},
 		usual: []float64{1}, seen: []float64{0}, taken: make([]int, max(1, len(s.Tenants))),
-		cleared: now, budget: 1, crowd: 1, share: slices.Index(s.Report, FieldLoadShare)}
+		cleared: now, budget: 1, crowd: 1, share: slices.Index(s.Report, FieldLoadShare),
+		errs: slices.Index(s.Report, FieldErrors)}
 	b.Retune(s)
 	if s.ListOnRequest {
 		b.askList(now)
--- a/balance/told_test.go
+++ b/balance/told_test.go
@@ -156,3 +156,48 @@
 		}
 	}
 }
+
+// A server that reports errors is found out by each of many relays with a request of its own. One that may not be
+// repeated is lost by that, so it goes on to the next in its order. Two at most are passed by: where all
+// fail it still goes somewhere.
+func TestWhatMayNotBeRepeatedPassesByWhoReportsErrors(t *testing.T) {
+	const n = 8
+	for _, tc := range []struct {
+		name    string
+		effect  Effect
+		failing int     // servers that report errors, from the first on
+		errs    float32 // so many a second
+		least   int     // of 200 requests at the failing ones
+		most    int
+	}{
+		{"unsafe", Unsafe, 2, 5, 0, 0},
+		{"keyed", Keyed, 2, 5, 0, 0},
+		{"safe goes there and finds out", Safe, 2, 5, 30, 70},
+		{"all report errors", Unsafe, n, 5, 200, 200},
+		{"one in 25 attempts", Unsafe, 2, 1, 30, 70},
+	} {
+		b, r := many(t, n, 3, func(s *Settings) {
+			s.Report = []Field{FieldLoadShare, FieldErrors}
+			s.Classes[0].Effect, s.Classes[0].Window = tc.effect, 5*sec
+		})
+		b.pace = sec // 200 relays, eight servers: 25 attempts a second at each
+		now, at := 2*sec, 0
+		for id := uint64(1); id <= 200; id++ {
+			for s := BackendID(1); s <= n; s++ {
+				errs := float32(0)
+				if int(s) <= tc.failing {
+					errs = tc.errs
+				}
+				b.Probed(now-ms, Report{Backend: s, Latency: ms, Load: []float32{0.3, errs}})
+			}
+			if to := sent(t, b, r, now, Request{ID: id, Key: id * 77, Left: 2 * sec}); int(to) <= tc.failing {
+				at++
+			}
+			b.Outcome(now, Outcome{ID: id, Status: Cancelled, Closed: true})
+			b.pace = sec
+		}
+		if at < tc.least || at > tc.most {
+			t.Errorf("%s: %d of 200 went to servers that report errors", tc.name, at)
+		}
+	}
+}
--- a/internal/fleet/backends.go
+++ b/internal/fleet/backends.go
@@ -42,6 +42,7 @@
 	timer    *time.Timer
 	sessions map[*session]bool
 	errs     float64 // share of OPENs answered ERR, at no cost
+	failures failures
 	full     float64 // share answered BUSY
 	breaks   float64 // share reset
 	receipts int
@@ -120,6 +121,33 @@
 	}
 }
 
+// failures counts the errors of a backend by the second; what it reports is that of the last whole one.
+type failures struct {
+	second    time.Duration
+	now, last float64
+}
+
+func (f *failures) turn(at time.Duration) {
+	switch second := at.Truncate(time.Second); {
+	case second == f.second:
+		return
+	case second == f.second+time.Second:
+		f.second, f.last, f.now = second, f.now, 0
+	default:
+		f.second, f.last, f.now = second, 0, 0
+	}
+}
+
+func (f *failures) add(at time.Duration) {
+	f.turn(at)
+	f.now++
+}
+
+func (f *failures) rate(at time.Duration) float64 {
+	f.turn(at)
+	return f.last
+}
+
 // vanish takes the machine off the network: no word to anybody.
 func (b *backend) vanish() { b.stop(true) }
 
@@ -288,10 +316,11 @@
 		r.probed(s.wire.relay.who, b.number)
 		answer := "PONG"
 		if line == "STATS" {
-			answer = fmt.Sprintf("PONG x0=%.3f", b.model.Report(r.now()))
-		}
-		if b.errs > 0 && line == "STATS" {
-			answer = "PONG x0=0.000" // it fails what it gets at once, and looks empty
+			load := b.model.Report(r.now())
+			if b.errs > 0 {
+				load = 0 // it fails what it gets at once, and looks empty
+			}
+			answer = fmt.Sprintf("PONG x0=%.3f,errors_per_s=%.3f", load, b.failures.rate(r.now()))
 		}
 		b.after(100*time.Microsecond, func() { s.wire.say(answer) })
 	case strings.HasPrefix(line, "OPEN ") && !s.busy:
@@ -333,6 +362,7 @@
 	r.attempted(s)
 	s.busy = true
 	if r.chance(b.errs) {
+		b.failures.add(r.now())
 		b.after(500*time.Microsecond, func() { s.answer("ERR", true) })
 		return
 	}
--- a/internal/fleet/clients.go
+++ b/internal/fleet/clients.go
@@ -332,6 +332,7 @@
 		return c.between(100*time.Millisecond, 600*time.Millisecond)
 	}
 	r.count("failed")
+	r.count("failed " + classes[c.class].name)
 	return soon()
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -473,3 +473,21 @@
 		t.Error("trouble that is over")
 	}
 }
+
+// A quarter of the backends fails more than half of what they get. What may not be repeated is lost by each of those, and
+// each of forty relays would find them out by a few of its own: it goes by what they report instead.
+func TestWhatMayNotBeRepeatedPassesFailingBackendsBy(t *testing.T) {
+	t.Parallel()
+	f := small(40, 12, 360)
+	f.Stay = [2]time.Duration{2 * time.Second, 6 * time.Second}
+	res := play(t, Options{Length: 20 * time.Second, Fleet: f, Script: []trouble.Fault{
+		{Kind: "backends failing fast", At: 4 * time.Second, For: 14 * time.Second, Hit: []int{2, 5, 9}, Much: 0.3}}})
+	lost, asked, errs := res.Counts["failed submit"], res.Counts["request submit"], res.Counts["backend said ERR"]
+	t.Logf("%d of %d that may not be repeated failed, %d errors in all, attempts %v", lost, asked, errs, res.Attempts)
+	if asked < 300 || errs < 50 {
+		t.Errorf("%d requests, %d errors: the case is not hard", asked, errs)
+	}
+	if 13*lost > asked {
+		t.Errorf("%d of %d requests that may not be repeated failed", lost, asked)
+	}
+}
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -48,7 +48,7 @@
 			"dedup-scope": "cell", "dedup-window-ms": ms(dedupWindow), "worth": c.worth})
 		aims = append(aims, ms(messageAim))
 	}
-	stats := map[string]any{"how": "on_probe", "fields": []string{"x0"}}
+	stats := map[string]any{"how": "on_probe", "fields": []string{"x0", "errors_per_s"}}
 	if f.Silent {
 		stats = map[string]any{"how": "off"}
 	}
