Nothing is begun for a client whose end is in the socket, though nobody has read it

Likewise with the order there and the client's reader not yet run, in 12 of 12. Ruled out: orders that wait beside an end that was read (await looks at it first); a pause, a probe, no list (the books hear in time). Lines at fault: serve has the loop told of the OPEN before anybody reads on (flow.go); attempt asked only for a cancelled context. Change: Relay.attempt looks at the client's socket itself, before the dial and before the first byte: a peek that needs no turn.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/textproto"
 	"sync"
+	"syscall"
 	"time"
 
 	"aspenbarrow/internal/machine"
@@ -54,9 +55,31 @@
 	return errors.As(err, &ne) && ne.Timeout()
 }
 
-// attempt sends the OPEN line to a backend and waits for its first line. With
+// over says whether a client that waits has ended, or has gone on before its answer, though whoever reads it may not
+// have come to run yet: on a core at its limit that may take longer than nothing may be begun for it any more. It does
+// not wait, takes nothing, and needs no turn at reading. Where the system does not say the reader will.
+func (l *line) over() bool {
+	raw, err := l.conn.SyscallConn()
+	if err != nil {
+		return true // closed
+	}
+	var b [1]byte
+	ended := false
+	err = raw.Control(func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = err == nil || errors.Is(err, syscall.ECONNRESET)
+	})
+	return err != nil || ended
+}
+
+var errOver = errors.New("its client has left")
+
+// attempt sends the OPEN line of a client to a backend and waits for its first line. With
 // UP the returned line holds that answer as its first bytes, answer of them.
-func (r *Relay) attempt(ctx context.Context, a *machine.Attempt) (l *line, answer int, fail *machine.AttemptError) {
+func (r *Relay) attempt(ctx context.Context, client *line, a *machine.Attempt) (l *line, answer int, fail *machine.AttemptError) {
+	if client.over() {
+		return nil, 0, a.Failed(errOver, true)
+	}
 	ctx, cancel := context.WithDeadline(ctx, r.at(a.Until))
 	defer cancel()
 	d := net.Dialer{Timeout: a.Dial, KeepAlive: -1}
@@ -66,8 +89,8 @@
 	}
 	l = newLine(c.(*net.TCPConn))
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	if ctx.Err() == context.Canceled { // its client left, or was answered, while the dial was out
-		fail = a.Failed(ctx.Err(), true)
+	if ctx.Err() == context.Canceled || client.over() { // it left, or was answered, while the dial was out
+		fail = a.Failed(errOver, true)
 	} else {
 		answer, fail = r.exchange(l, a)
 	}
--- a/internal/relay/crossings_test.go
+++ b/internal/relay/crossings_test.go
@@ -25,8 +25,8 @@
 // Two events that may cross are held at barriers here and let go in a chosen order: every backend, agent and client is
 // the test's own, and waits for it. docs/crossings.md names the pairs.
 
-// leavingTime is how soon nothing may be sent on for a client that has left.
-const leavingTime = 300 * time.Millisecond
+// leavingTime is how soon nothing may be begun for a client that has left.
+const leavingTime = 100 * time.Millisecond
 
 // bare is a configuration without probes and peers on the given backends.
 func bare(discovery string, list ...standin.Entry) Config {
@@ -304,6 +304,63 @@
 	}
 }
 
+// The client's end is in the socket and whoever reads it has not come to run, as on a core at its limit: the order is there,
+// and nothing is begun.
+func TestNothingIsBegunForAClientWhoseEndIsUnread(t *testing.T) {
+	t.Parallel()
+	for _, way := range ways {
+		t.Run(way.name, func(t *testing.T) {
+			t.Parallel()
+			b := newScripted(t)
+			r, _, a := attempts(t, b.l.Addr().String(), patience)
+			b.answersOne(r)
+			near, far := pipe(t)
+			f := &flow{relay: r, client: newLine(near), m: machine.NewFlow(100, r.settings.Load(), r.node.Ledger()),
+				orders: make(chan machine.Order, 16), left: make(chan bool, 1), stands: make(chan struct{}), over: make(chan struct{})}
+			if g, err := f.m.Hello(r.now(), []byte("OPEN 0000000000000064 0000000000000001 c=chat,d=60000\r\n"), true); err != nil || !g.Opened {
+				t.Fatalf("%+v, %v", g, err)
+			}
+			way.how(&caller{t: t, TCPConn: far})
+			until(t, "its end has come", f.client.over)
+			done := make(chan struct{})
+			go func() { defer close(done); f.await() }()
+			f.orders <- machine.Order{To: a.To, Until: r.now() + patience}
+			_ = b.l.SetDeadline(time.Now().Add(2 * leavingTime))
+			if c, err := b.l.Accept(); err == nil {
+				t.Errorf("an attempt from %v was begun for a client that has left", c.RemoteAddr())
+			}
+			f.left <- false // now it has
+			<-done
+		})
+	}
+}
+
+// They ask and leave while nobody takes connections in yet: when somebody does, each has been gone for longer than anything
+// may be begun for it.
+func TestWhoHasLeftTheQueueIsSentNowhere(t *testing.T) {
+	t.Parallel()
+	for _, way := range ways {
+		t.Run(way.name, func(t *testing.T) {
+			t.Parallel()
+			b := newScripted(t)
+			r, err := New(bare("127.0.0.1:9", b.entry("s-0")), zap.NewNop())
+			if err != nil {
+				t.Fatal(err)
+			}
+			for id := range 50 {
+				way.how(opens(t, r, id+1, ""))
+			}
+			gone := time.Now()
+			until(t, "they have been gone for long", func() bool { return time.Since(gone) > leavingTime })
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan error, 1)
+			go func() { ended <- r.Run(ctx) }()
+			t.Cleanup(func() { cancel(); <-ended })
+			servesNext(t, r, b, 999)
+		})
+	}
+}
+
 // full is a backend whose queue is full: a connection to it comes up about a second after its queue is emptied.
 func full(t *testing.T) (addr string, empty func() *net.TCPListener) {
 	t.Helper()
@@ -443,7 +500,7 @@
 				_ = try.Close()
 			}
 			leaves(t, r, c, way.how)
-			_ = b.l.SetDeadline(time.Now().Add(2 * leavingTime)) // twice the pause
+			_ = b.l.SetDeadline(time.Now().Add(600 * time.Millisecond)) // twice the pause
 			if try, err := b.l.Accept(); err == nil {
 				got, _ := bufio.NewReader(try).ReadString('\n')
 				t.Errorf("the backend was sent %q", got)
--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -222,7 +222,7 @@
 		f.results <- r
 	}()
 	for {
-		r.back, r.answer, r.fail = f.relay.attempt(ctx, a)
+		r.back, r.answer, r.fail = f.relay.attempt(ctx, f.client, a)
 		if r.fail == nil {
 			return
 		}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -146,7 +146,7 @@
 	} {
 		was := len(b.Opens())
 		r, f, a := attempts(t, tc.addr, tc.left)
-		l, n, fail := r.attempt(context.Background(), a)
+		l, n, fail := r.attempt(context.Background(), waiting(t), a)
 		if l != nil {
 			up, _ := l.in.R.Peek(n)
 			if string(up) != "UP 0000000000000001\r\n" {
@@ -170,7 +170,7 @@
 	r, f, a := attempts(t, b.Addr(), patience)
 	ctx, stop := context.WithCancel(context.Background())
 	go func() { <-seen; stop() }()
-	_, _, fail := r.attempt(ctx, a)
+	_, _, fail := r.attempt(ctx, waiting(t), a)
 	if got := f.Tried(r.now(), a, fail).Event.Outcome.Status; got != balance.Cancelled {
 		t.Errorf("%v: %v", got, fail)
 	}
@@ -264,6 +264,12 @@
 	}
 }
 
+// waiting is a client that waits for its answer.
+func waiting(t *testing.T) *line {
+	near, _ := pipe(t)
+	return newLine(near)
+}
+
 // pipe is a guest's connection and its other end.
 func pipe(t *testing.T) (near, far *net.TCPConn) {
 	t.Helper()
