--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -44,6 +44,7 @@
 	ToldBy    time.Duration // what a backend's list has counts as told after this
 	Held      time.Duration // no line waits for longer
 	Silent    time.Duration // a backend that brings nothing back
+	Left      time.Duration // nothing is begun for a client that left longer ago, allowances included
 	FirstLine time.Duration // who says nothing whole has an answer within this, allowances included
 	ColdFrom  float64
 	WarmUp    time.Duration
@@ -728,6 +729,9 @@
 	if r.client.answered && c.now()-r.client.answeredAt >= c.rules.Onlooker {
 		c.fail("after-answer", "request %s was sent after its final answer", r.id)
 	}
+	if x := r.client; x.ended != 0 && c.now()-x.endedAt > c.rules.Left && !c.slept(b.relay, x.endedAt) {
+		c.fail("left", "request %s was sent %v after its client had left", r.id, c.now()-x.endedAt)
+	}
 	r.out = b
 	s := &c.backends[b.backend]
 	if r.ran != nil {
--- a/internal/world/relay.go
+++ b/internal/world/relay.go
@@ -532,7 +532,11 @@
 	}
 	f.left = true
 	spoke := len(f.c.in) > head
-	f.r.soon(func() {
+	soon := f.r.soon
+	if f.r.run.broken(BreakLeft) {
+		soon = func(do func()) { f.r.w.in(400*time.Millisecond, f.r.alive(do)) }
+	}
+	soon(func() {
 		switch {
 		case f.state == waiting:
 			f.carryOut(f.m.Left(spoke))
--- a/internal/world/run.go
+++ b/internal/world/run.go
@@ -279,8 +279,9 @@
 	const allowed = 50 * time.Millisecond
 	s := &run.set
 	return checker.Rules{Classes: run.classRules(), Attempts: 4, Slack: s.AnswerSlack + allowed, Grace: s.DrainGrace + allowed, ToldBy: 6 * time.Second,
-		Held: time.Second + allowed, Silent: 7*time.Second + allowed, FirstLine: 2*time.Second + s.AnswerSlack + allowed,
-		ColdFrom: s.ColdFrom, WarmUp: s.WarmUp, FallTimes: s.FallMultiple, FallSpan: s.FallSpan,
+		Held: time.Second + allowed, Silent: 7*time.Second + allowed, Left: 100 * time.Millisecond,
+		FirstLine: 2*time.Second + s.AnswerSlack + allowed,
+		ColdFrom:  s.ColdFrom, WarmUp: s.WarmUp, FallTimes: s.FallMultiple, FallSpan: s.FallSpan,
 		Opens: run.opens()}
 }
 
--- a/internal/world/sabotage.go
+++ b/internal/world/sabotage.go
@@ -41,6 +41,7 @@
 	BreakDrain        Break = "drain-holds"   // a drained relay moves nobody
 	BreakOldRules     Break = "old-rules"     // the effects that a reload brings are not looked at
 	BreakHandOver     Break = "hand-over"     // the old process of an upgrade cuts off whom it has
+	BreakLeft         Break = "left-late"     // a client's end is looked at 0.4 s later
 	BreakYes          Break = "drain-yes"     // and goes on saying yes
 )
 
@@ -70,6 +71,7 @@
 	BreakCountLeaving: {"figures"},
 	BreakDrain:        {"drained"},
 	BreakYes:          {"drained"},
+	BreakLeft:         {"left"},
 	BreakHandOver:     {"cut-off", "no-answer"},
 	BreakOldRules:     {"unsafe-repeat"},
 }
