Restarted relays are ready in time whatever discovery and their list are like

Need: nine in ten restarted processes answer PONG within 10 s; no cap below 1,024 on lists of relays and servers. Seen on processes: with a spoilt known list the program ended at its start ('exit status 1'), with none and discovery down or silent it was never ready (15 s waited). Ruled out as slow: lists of 1,000 servers, 1,000 peers, forty connections from before the start (0.08 to 0.12 s each, three processes a case, 24 at once). Lines at fault: NewNode refused a known list that cannot be read; Ready wants a list for good (node.go). Change: a spoilt known list is logged and left out; six seconds after the start a relay without any list takes clients all the same, which then wait for it or are refused in time. The rig plays up to 1,024 relays (512 before). A reload with a spoilt known list is refused as before.

--- /dev/null
+++ b/cmd/aspenbarrow/start_test.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"aspenbarrow/internal/standin"
+)
+
+// readyWithin is by when nine in ten restarted relays have to answer PONG on their listen address.
+const readyWithin = 10 * time.Second
+
+// hosts is a list of so many servers that nobody runs.
+func hosts(n int) (list []standin.Entry) {
+	for i := range n {
+		list = append(list, standin.Entry{ID: fmt.Sprintf("s-%08x", i), Addr: fmt.Sprintf("127.0.%d.%d:9", 1+i/250, 1+i%250), Zone: "east", State: "ready", Weight: 1})
+	}
+	return list
+}
+
+// names are so many peers, as the configuration writes them.
+func names(n int) string {
+	var list []string
+	for i := range n {
+		list = append(list, fmt.Sprintf("127.1.%d.%d:9", i/250, 1+i%250))
+	}
+	text, _ := json.Marshal(list)
+	return `"peers":` + string(text)
+}
+
+// pong waits until a relay says that it is to be used and returns how long that took since.
+func (p *program) pong(since time.Time) time.Duration {
+	p.t.Helper()
+	for {
+		if c, err := net.Dial("tcp", p.addr); err == nil {
+			_ = c.SetDeadline(time.Now().Add(patience))
+			_, _ = fmt.Fprint(c, "PING\r\n")
+			line, _ := bufio.NewReader(c).ReadString('\n')
+			_ = c.Close()
+			if line == "PONG\r\n" {
+				return time.Since(since)
+			}
+		}
+		if time.Since(since) > patience {
+			p.t.Fatalf("never ready\n%s", p.log)
+		}
+		time.Sleep(20 * time.Millisecond) // between two questions
+	}
+}
+
+// Two dozen processes start again at once, each with a thousand servers and peers, whatever discovery and the list that
+// they had are like: nine in ten are ready in time, and nothing at the start waits for the network for good.
+func TestRestartedRelaysAreReadyInTime(t *testing.T) {
+	mute, err := net.Listen("tcp", "127.0.0.1:0") // takes calls and answers none
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = mute.Close() })
+	var slow standin.Discovery
+	if err := slow.Listen("127.0.0.1:0", hosts(1000)...); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(slow.Close)
+	const here = `"peers":["127.0.0.1:9"]`
+	for _, tc := range []struct {
+		name      string
+		discovery string
+		known     []standin.Entry
+		replace   [2]string
+		standing  int // connections from before the start that come at once
+	}{
+		{"discovery down, an old list", "127.0.0.1:9", hosts(1000), [2]string{here, names(1000)}, 0},
+		{"discovery silent, an old list", mute.Addr().String(), hosts(1000), [2]string{here, names(1000)}, 0},
+		{"discovery silent, no list", mute.Addr().String(), nil, [2]string{here, names(1000)}, 0},
+		{"discovery down, no list", "127.0.0.1:9", nil, [2]string{here, names(1000)}, 0},
+		{"discovery down, a spoilt list", "127.0.0.1:9", hosts(1), [2]string{`"full":true`, `"full":"yes"`}, 0},
+		{"discovery up, a spoilt list", slow.Addr(), hosts(1000), [2]string{`"full":true`, `"full":"yes"`}, 0},
+		{"discovery up, no list", slow.Addr(), nil, [2]string{here, names(1000)}, 0},
+		{"connections from before the start", "127.0.0.1:9", hosts(1000), [2]string{here, names(1000)}, 40},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			began, relays := time.Now(), make([]*program, 3)
+			for i := range relays {
+				relays[i] = start(t, setup{discovery: tc.discovery, known: tc.known, replace: tc.replace, memory: 32, sockets: 256})
+			}
+			late := 0
+			for _, p := range relays {
+				for i := range tc.standing {
+					c := p.dial()
+					c.say(fmt.Sprintf("OPEN %016x %016x c=chat,d=2000,at=s-%08x", i+1, i+1, i))
+				}
+				took := p.pong(began)
+				if took > readyWithin {
+					late++
+				}
+				if strings.Contains(tc.name, "spoilt") {
+					p.logs("known backends cannot be read", 1)
+				}
+			}
+			if 10*late > len(relays) {
+				t.Errorf("%d of %d relays were not ready within %v", late, len(relays), readyWithin)
+			}
+		})
+	}
+}
+
+// resident is what the program takes of memory, in megabytes.
+func (p *program) resident() int {
+	p.t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	m := regexp.MustCompile(`VmRSS:\s+(\d+) kB`).FindSubmatch(text)
+	if m == nil {
+		p.t.Fatal("no VmRSS")
+	}
+	kb, err := strconv.Atoi(string(m[1]))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return kb / 1024
+}
+
+// A thousand and twenty-four relays and two thousand servers, within the smallest limits of the platform: at a start, on a
+// reload and with a whole list from discovery.
+func TestThousandsOfRelaysAndServersFitTheSmallestLimits(t *testing.T) {
+	var version atomic.Int64 // of discovery's list, which names some servers fewer each time
+	version.Store(2)
+	heard := make(chan int64, 64)
+	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		index, _ := strconv.ParseInt(r.URL.Query().Get("index"), 10, 64)
+		if v := version.Load(); index < v {
+			_, _ = w.Write(standin.List(int(v), hosts(2000-int(v))))
+			return
+		}
+		heard <- index // it has that list
+		for version.Load() == index && r.Context().Err() == nil {
+			time.Sleep(5 * time.Millisecond) // there is nothing newer yet
+		}
+		_, _ = w.Write(standin.List(int(version.Load()), hosts(2000-int(version.Load()))))
+	}))
+	t.Cleanup(d.Close)
+	s := setup{discovery: d.Listener.Addr().String(), known: hosts(2000), replace: [2]string{`"peers":["127.0.0.1:9"]`, names(1024)}, memory: 32, sockets: 256}
+	p := start(t, s)
+	p.pong(time.Now())
+	small := func(when string) {
+		t.Helper()
+		t.Logf("%s: %d MB", when, p.resident())
+		if mb := p.resident(); mb > 32 && !raceEnabled {
+			t.Errorf("%s: %d MB of 32", when, mb)
+		}
+		fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+		if err != nil || len(fds) > 64 {
+			t.Errorf("%s: %d descriptors without a client, %v", when, len(fds), err)
+		}
+	}
+	small("at the start")
+	for round := range 3 { // each server named anew, three times over
+		for want := version.Add(1); ; {
+			select {
+			case got := <-heard:
+				if got == want {
+					want = 0
+				}
+			case <-time.After(patience):
+				t.Fatal("the list is not asked for")
+			}
+			if want == 0 {
+				break
+			}
+		}
+		small("with a list")
+		s.replace[1] = names(1024 - round - 1)
+		p.reload(s)
+		p.logs("configuration read again", round+1)
+		small("after a reload")
+	}
+	p.pong(time.Now())
+}
--- a/internal/fleet/addresses.go
+++ b/internal/fleet/addresses.go
@@ -15,7 +15,7 @@
 
 // How many there may be: a pair's address has 24 bits.
 const (
-	maxRelays   = 512
+	maxRelays   = 1024
 	maxBackends = 1024
 )
 
@@ -27,7 +27,7 @@
 	backendNet   = 16 // backends, one address for each pair with a relay
 	peerNet      = 32 // peers, one address for each pair
 	backendBits  = 10
-	peerBits     = 9
+	peerBits     = 10
 	addressBytes = 16 // bits within a net's second byte
 )
 
--- a/internal/machine/node.go
+++ b/internal/machine/node.go
@@ -87,6 +87,7 @@
 	mostCalls    = 32                      // connections at the second address
 	figuresEvery = 200 * time.Millisecond  // what the module alone knows is published this often
 	drainNotice  = 300 * time.Millisecond  // a client moved before the front has heard of a drain would come right back
+	unlisted     = 6 * time.Second         // a relay that has not heard of any list for so long takes clients all the same
 	drainMoves   = 2500 * time.Millisecond // a drained relay's clients are asked to move within this after that
 )
 
@@ -143,44 +144,45 @@
 
 // Node is one relay's books. Its methods are called one at a time.
 type Node struct {
-	set      *settings.Settings
-	book     *Ledger
-	cfg      Config // as it is in force
-	log      *zap.Logger
-	host     Host
-	balancer Decider
-	watch    *watch              // nil: nothing is watched
-	members  *membership.Machine // nil: nobody finds out who is there
-	here     int                 // relays that are there, as the module was told
-	viewed   time.Duration       // when staff's view of them was made
-	handed   uint64              // an incarnation that the process before this one had
-	born     time.Duration
-	now      time.Duration
-	flows    map[uint64]*call
-	ids      map[uint64]*call
-	backends map[balance.BackendID]*Backend
-	named    []*Backend // all of backends, in the order in which they were first named
-	peers    map[netip.AddrPort]int
-	timers   timers
-	timerSeq uint64
-	later    []func()
-	pending  int     // requests that are owed an answer
-	begun    bool    // a connection has come that is none from before the start
-	told     bool    // discovery itself has given a list
-	cached   *uint64 // the version of the list that the configuration held at the start; nil: it held none
-	leaveBy  time.Duration
-	answerBy time.Duration // leaving: every answer is given by then; 0: it is not
-	ended    bool          // it has left: who still comes is turned away
-	noted    bool          // a LOAD line has told of a late message, as the settings promise
-	names    []string      // of all classes by their numbers, dropped ones too
-	sockets  int           // descriptors that there are; 0: not told yet
-	held     int           // and how many of them another process of this relay has
-	drains   uint64        // counts the calls that changed whether clients are sent away
-	draining bool          // they are, as far as the books know
-	ready    atomic.Bool
-	drained  atomic.Bool // they are to be
-	leaving  atomic.Bool
-	replaced atomic.Bool // the next process takes who comes
+	set        *settings.Settings
+	book       *Ledger
+	cfg        Config // as it is in force
+	log        *zap.Logger
+	host       Host
+	balancer   Decider
+	watch      *watch              // nil: nothing is watched
+	members    *membership.Machine // nil: nobody finds out who is there
+	here       int                 // relays that are there, as the module was told
+	viewed     time.Duration       // when staff's view of them was made
+	handed     uint64              // an incarnation that the process before this one had
+	born       time.Duration
+	now        time.Duration
+	flows      map[uint64]*call
+	ids        map[uint64]*call
+	backends   map[balance.BackendID]*Backend
+	named      []*Backend // all of backends, in the order in which they were first named
+	peers      map[netip.AddrPort]int
+	timers     timers
+	timerSeq   uint64
+	later      []func()
+	pending    int     // requests that are owed an answer
+	begun      bool    // a connection has come that is none from before the start
+	told       bool    // discovery itself has given a list
+	cached     *uint64 // the version of the list that the configuration held at the start; nil: it held none
+	leaveBy    time.Duration
+	answerBy   time.Duration // leaving: every answer is given by then; 0: it is not
+	ended      bool          // it has left: who still comes is turned away
+	listedOnce bool          // there has been a list
+	noted      bool          // a LOAD line has told of a late message, as the settings promise
+	names      []string      // of all classes by their numbers, dropped ones too
+	sockets    int           // descriptors that there are; 0: not told yet
+	held       int           // and how many of them another process of this relay has
+	drains     uint64        // counts the calls that changed whether clients are sent away
+	draining   bool          // they are, as far as the books know
+	ready      atomic.Bool
+	drained    atomic.Bool // they are to be
+	leaving    atomic.Bool
+	replaced   atomic.Bool // the next process takes who comes
 }
 
 // NewNode checks a configuration and starts the books.
@@ -193,11 +195,8 @@
 	n.names = slices.Clone(s.ClassNames)
 	n.book.name(n.names)
 	known, spoilt, err := cfg.known(n.set)
-	if err != nil {
-		return nil, err
-	}
-	if spoilt != nil { // a relay that does not start for it would cost all clients
-		log.Warn("entries of the known backends cannot be read", zap.Error(spoilt))
+	if spoilt = errors.Join(err, spoilt); spoilt != nil { // a relay that does not start for it would cost all clients
+		log.Warn("known backends cannot be read", zap.Error(spoilt))
 	}
 	n.meet(cfg.Peers)
 	n.decide(now)
@@ -210,6 +209,9 @@
 	if cfg.Management != "" || n.watch != nil {
 		n.after(figureTimer, 0, 0)
 	}
+	if !n.ready.Load() {
+		n.after(unlistedTimer, 0, unlisted)
+	}
 	return n, nil
 }
 
@@ -267,8 +269,9 @@
 // Config is the configuration in force.
 func (n *Node) Config() Config { return n.cfg }
 
-// Ready says whether clients may be sent here: a relay without any list is not to be
-// used, nor one that is drained. It may be called from any goroutine.
+// Ready says whether clients may be sent here: a relay that has just started and has no list is not to be used, nor one
+// that is drained. Without a list for long it is: where discovery is out for all, somebody has to say so to who comes,
+// and nothing at a start waits for the network for good. It may be called from any goroutine.
 func (n *Node) Ready() bool { return n.ready.Load() && !n.drained.Load() }
 
 // SetReplaced says whether another process takes the connections that come, and returns
@@ -341,15 +344,16 @@
 
 // The kinds of timer.
 const (
-	moduleTimer uint8 = iota
-	lateTimer         // leaving: the front has surely noticed
-	lookTimer         // leaving: is anything owed?
-	endTimer          // leaving: the last answers are written
-	callTimer         // leaving: the time is up for whoever still waits, or stands and cannot be held
-	drainTimer        // drained: the front has surely noticed
-	figureTimer       // what the module avoids is to be published
-	watchTimer        // of what decides in vain
-	memberTimer       // of who is there
+	moduleTimer   uint8 = iota
+	lateTimer           // leaving: the front has surely noticed
+	lookTimer           // leaving: is anything owed?
+	endTimer            // leaving: the last answers are written
+	callTimer           // leaving: the time is up for whoever still waits, or stands and cannot be held
+	drainTimer          // drained: the front has surely noticed
+	figureTimer         // what the module avoids is to be published
+	watchTimer          // of what decides in vain
+	memberTimer         // of who is there
+	unlistedTimer       // there is still no list
 )
 
 type timer struct {
@@ -433,6 +437,10 @@
 		n.watch.timer(n.now, t.token)
 	case memberTimer:
 		n.memberTick()
+	case unlistedTimer:
+		if !n.ready.Swap(true) {
+			n.log.Warn("ready without a list of backends", zap.Duration("after", unlisted))
+		}
 	}
 }
 
@@ -808,7 +816,9 @@
 		}
 	}
 	n.balancer.List(n.now, kind, lines)
-	if !n.ready.Swap(true) {
+	n.ready.Store(true)
+	if !n.listedOnce {
+		n.listedOnce = true
 		n.host.Ready()
 	}
 }
