Two hundred clients that leave at once while lists of a thousand servers are read

Need: the term on left clients holds with the loop busy too. Change: the test of two hundred that leave plays each way again while discovery sends whole lists of a thousand servers without pause.

--- a/internal/relay/crossings_test.go
+++ b/internal/relay/crossings_test.go
@@ -509,28 +509,51 @@
 	}
 }
 
+// With the loop busy too: discovery sends a whole list of a thousand servers again and again.
 func TestTwoHundredThatLeaveAtOnceLeaveNothingBehind(t *testing.T) {
 	t.Parallel()
 	for _, way := range ways {
-		t.Run(way.name, func(t *testing.T) {
-			b := newScripted(t)
-			r, _, _ := running(t, bare("127.0.0.1:9", b.entry("s-0")))
-			var clients []*caller
-			var tries []*taken
-			for id := range 200 {
-				clients = append(clients, opens(t, r, id+1, ""))
-				tries = append(tries, b.accept())
-				tries[id].asked("OPEN")
-			}
-			for _, c := range clients {
-				way.how(c)
-			}
-			for _, try := range tries {
-				try.over()
-			}
-			until(t, "nobody is in the books", func() bool { return r.even(t) })
-			servesNext(t, r, b, 999)
-		})
+		for _, busy := range []bool{false, true} {
+			t.Run(fmt.Sprint(way.name, ", lists come ", busy), func(t *testing.T) {
+				b, d := newScripted(t), newAgent(t)
+				list := []standin.Entry{b.entry("s-0")}
+				r, _, _ := running(t, bare(d.addr(), list...))
+				if busy {
+					for i := range 1000 {
+						list = append(list, standin.Entry{ID: fmt.Sprint("d-", i), Addr: "127.0.0.1:9", Zone: "east", State: "draining", Weight: 1})
+					}
+					lists, stop := make(chan struct{}), make(chan struct{})
+					go func() {
+						defer close(lists)
+						for version := 1; ; version++ {
+							select {
+							case q := <-d.calls:
+								body := standin.List(version, list)
+								_, _ = fmt.Fprintf(q.c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+							case <-stop:
+								return
+							}
+						}
+					}()
+					t.Cleanup(func() { close(stop); <-lists })
+				}
+				var clients []*caller
+				var tries []*taken
+				for id := range 200 {
+					clients = append(clients, opens(t, r, id+1, ""))
+					tries = append(tries, b.accept())
+					tries[id].asked("OPEN")
+				}
+				for _, c := range clients {
+					way.how(c)
+				}
+				for _, try := range tries {
+					try.over()
+				}
+				until(t, "nobody is in the books", func() bool { return r.even(t) })
+				servesNext(t, r, b, 999)
+			})
+		}
 	}
 }
 
