Where no note tells, each relay looks at its servers every few seconds

A relay with one connection on a server asked it every sixteen seconds, and only who has asked moves its own. Ruled out: moves that are asked for and not made (ended as moved in the same second), capacity (the mean report is 0.6). Lines at fault: recover's chance of a probe, one connection in 16 (balance.go). Test: ServersAreWatchedByProbes held 4 to 20 probes in 40 s for four connections, the old constant's figure; now 4 to 20 for one, 10 to 32 for two and one a second for sixteen, and none where notes tell, as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,8 +14,7 @@
 	deltaConns = 4.0              // Δ in connections' worth of this relay's own,
 	deltaTold  = 1.25             // and in those of any relay's where reports tell what a server holds
 	askedFrom  = 0.9              // a backup is asked for a home over this part of the usual load
-	probeConns = 4.0              // so many connections on a limited server are worth a probe a second,
-	watchConns = 16.0             // and so many on any server where no note tells of late messages
+	probeConns = 4.0              // so many on a server that may be over are worth a probe a second
 	idleConns  = 24.0             // on each server, as which all relays without connections count
 	clearEvery = 10 * time.Second // B and F are forgotten this often
 	beat       = time.Second      // the rhythm of upkeep
@@ -588,13 +587,10 @@
 		} else if s.State == StateGone {
 			b.depart(now, s, now, beat)
 		}
+		// Where notes tell of late messages only a limit is looked after, else every server.
 		if s.State != StateReady || s.limit == 0 && b.set.TellsDelay {
 			continue
 		}
-		conns := watchConns // where no note tells of late messages, a server slows unseen unless asked
-		if s.limit > 0 {
-			conns = probeConns
-		}
 		if now-s.hot >= 2*beat {
 			if s.limit < nearBorne*s.bears || now-s.hot > feelSpan || b.share >= 0 {
 				s.limit *= 1.1
@@ -603,7 +599,7 @@
 			}
 		}
 		// The answer sets the limit. From each of many relays a probe a second would cost too much.
-		if b.set.Probes && b.share >= 0 && b.rng.Float64()*conns < float64(s.n) {
+		if b.set.Probes && b.share >= 0 && b.rng.Float64()*probeConns < float64(s.n) {
 			b.probe(s)
 		}
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1046,22 +1046,25 @@
 	}
 }
 
+// One relay of many has a connection or two on a server and looks every few seconds; one with many, once a second.
 func TestServersAreWatchedByProbesWhereNoNoteTells(t *testing.T) {
 	for _, tells := range []bool{true, false} {
-		s := untold()
-		s.TellsDelay = tells
-		b, r := start(t, s, 1)
-		asked(b, 4, 0.3)
-		probes := 0
-		for beats := 1; beats <= 40; beats++ {
-			r.clear()
-			now := sec + time.Duration(beats)*sec
-			b.Timer(now, tickToken)
-			probes += len(r.take("probe"))
-			b.Probed(now, Report{Backend: 1, Load: []float32{0.3}})
-		}
-		if tells && probes != 0 || !tells && (probes < 4 || probes > 20) {
-			t.Errorf("notes %v: %d probes in 40 s for 4 connections", tells, probes)
+		for _, tc := range []struct{ conns, least, most int }{{1, 4, 20}, {2, 10, 32}, {16, 40, 40}} {
+			s := untold()
+			s.TellsDelay = tells
+			b, r := start(t, s, 1)
+			asked(b, tc.conns, 0.3)
+			probes := 0
+			for beats := 1; beats <= 40; beats++ {
+				r.clear()
+				now := sec + time.Duration(beats)*sec
+				b.Timer(now, tickToken)
+				probes += len(r.take("probe"))
+				b.Probed(now, Report{Backend: 1, Load: []float32{0.3}})
+			}
+			if tells && probes != 0 || !tells && (probes < tc.least || probes > tc.most) {
+				t.Errorf("notes %v: %d probes in 40 s for %d connections", tells, probes, tc.conns)
+			}
 		}
 	}
 }
