A mid-flow connection goes where it is known to stand, cold or not

Symptom, by reading the budget's change again: a connection that the record has at a server which started lately had to find budget there, else it went on to another, which resets it: 0 of 40 went where they stand. Besides, overflow no longer refused a group that had come mid-flow once its first attempt had failed; on a first attempt that exemption did nothing, since any warm server may take it. Lines at fault: place asked usable for a recorded server, which asks takesCold now; overflow's '|| c.MidFlow' (balance.go). Change: what is recorded goes there on its first attempt while the server is ready, as before the budget; the exemption is gone.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -49,7 +49,8 @@
 	}
 	// Stateful: it follows what it belongs to. Packets would be reset elsewhere, a split group paid twice.
 	if c.MidFlow && c.tries == 0 || c.grouped {
-		if d, ok := b.divert[c.flow]; ok && b.usable(now, d.to, c) {
+		if d, ok := b.divert[c.flow]; ok && // where it is known to stand it is borne already, cold or not
+			(c.MidFlow && c.tries == 0 && d.to.State == StateReady || b.usable(now, d.to, c)) {
 			return d.to
 		}
 		if c.MidFlow || home.groups[c.key] > 0 {
@@ -116,7 +117,7 @@
 		return holder
 	}
 	next := b.first(c.key, func(s *server) bool { return b.usable(now, s, c) })
-	if next == nil || !c.grouped || c.MidFlow {
+	if next == nil || !c.grouped {
 		return next
 	}
 	ahead := 0 // in overload, groups scattered one by one cost more than they bring; idle servers bring none
--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -162,3 +162,30 @@
 		})
 	}
 }
+
+// A mid-flow connection that is known to stand at a server which has started lately goes there, budget or not: any other
+// would reset it. What is not known goes by the budget, to the next in the key's order.
+func TestMidFlowGoesToAColdServerThatIsKnownToHoldIt(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		s := settings()
+		s.PassThrough = true
+		b, r := start(t, s, 4)
+		cold := Backend{ID: 9, State: StateReady, Weight: 1, ReadyAt: 20 * sec}
+		b.List(20*sec, ListDelta, []Backend{cold})
+		sends := 0
+		for id := uint64(1); id <= 40; id++ {
+			q := Request{ID: id, Key: id, MidFlow: true, Left: 2 * sec}
+			c := b.newCall(20*sec, q)
+			delete(b.calls, id)
+			if known {
+				b.remember(20*sec, c, b.servers[9])
+			}
+			if sent(t, b, r, 20*sec, q) == 9 {
+				sends++
+			}
+		}
+		if known && sends != 40 || !known && sends > 1 {
+			t.Errorf("known %v: %d of 40 went to the cold server", known, sends)
+		}
+	}
+}
