A client that never stops sending is held up, not reset over answers it has not got yet

Ruled out: the lobby's giving way (8 guests of its budget), the two seconds for a first line (2 ms had passed), a write that failed (the flow logs "too many probes" only after sixteen answers were written). At fault: lobby.readOff read 64 KiB and returned, serve closed at once over unread bytes. The reset takes back all that the relay's system still holds for want of the client's acknowledgements, seventeen small writes where ten may be out at first. Change: after those 64 KiB such a client is held up for the rest of Parting (0.5 s), looked at sixteen times for its end, and cut off then. It gives way first in the lobby as before, and costs fewer bytes a second than it did, since it can't come again at once. The virtual clock's relay does the same.

--- a/cmd/aspenbarrow/main_test.go
+++ b/cmd/aspenbarrow/main_test.go
@@ -936,6 +936,35 @@
 	}
 }
 
+// A client's system that has no room yet for what it was told holds that back at the relay. A relay that closes at once,
+// since the client never stops sending, takes it back.
+func TestAClientThatNeverStopsHearsAllThatItWasTold(t *testing.T) {
+	p, _, _ := serving(t, setup{sockets: 256, memory: 32}, &standin.Backend{})
+	narrow := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		_ = raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1) })
+		return err
+	}}
+	conn, err := narrow.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	c := &client{t, conn.(*net.TCPConn), bufio.NewReader(conn)}
+	_ = c.SetDeadline(time.Now().Add(patience))
+	_ = c.SetWriteDeadline(time.Now().Add(300 * time.Millisecond)) // of the half second that it is owed
+	for err == nil {
+		_, err = io.WriteString(c, strings.Repeat("PING\r\n", 1<<10))
+	}
+	if ne, ok := err.(net.Error); !ok || !ne.Timeout() {
+		t.Errorf("cut off with %v before it can have heard, not held up", err)
+	}
+	for range 16 {
+		c.hear("PONG")
+	}
+	c.hear("ERR")
+	p.up(open(""))
+}
+
 func TestWhatComesBeforeTheAnswerIsBadInput(t *testing.T) {
 	b := &standin.Backend{Answer: func(open string) []string { return nil }}
 	p, _, _ := serving(t, setup{}, b)
--- a/internal/machine/lobby.go
+++ b/internal/machine/lobby.go
@@ -14,7 +14,7 @@
 const (
 	FirstLine   = 2 * time.Second        // from being accepted a client says what it wants within this, whatever else it sends
 	Parting     = 500 * time.Millisecond // one that has had its last line is read off so long
-	MostReadOff = 64 << 10               // and so many bytes; then it is cut off
+	MostReadOff = 64 << 10               // and so many bytes at full speed; then it is held up
 	hearing     = 30 * time.Millisecond  // whoever came so lately does not give way: its OPEN may be on its way
 )
 
--- a/internal/relay/lobby.go
+++ b/internal/relay/lobby.go
@@ -67,15 +67,21 @@
 }
 
 // readOff takes in what a client still sends after its last line: closing over
-// unread bytes would reset the connection and take that line with it. Whoever
-// never stops sending is cut off all the same: its bytes cost the core.
+// unread bytes would reset the connection and take that line with it, and every
+// answer before it that the system still holds back for want of the client's
+// acknowledgements. Whoever never stops sending costs the core no more than so
+// many bytes: it is held up, looked at now and then, and cut off in the end.
 func (l *lobby) readOff(g *machine.Guest) {
 	l.mu.Lock()
 	l.m.Told(g)
 	l.mu.Unlock()
 	c := g.Conn.(*net.TCPConn)
-	_ = c.SetReadDeadline(time.Now().Add(machine.Parting))
-	_, _ = io.CopyN(io.Discard, c, machine.MostReadOff)
+	end := time.Now().Add(machine.Parting)
+	_ = c.SetReadDeadline(end)
+	_, err := io.CopyN(io.Discard, c, machine.MostReadOff)
+	for look := make([]byte, 512); err == nil && time.Now().Before(end); _, err = c.Read(look) {
+		time.Sleep(machine.Parting / 16)
+	}
 }
 
 func (l *lobby) guests() int {
--- a/internal/world/relay.go
+++ b/internal/world/relay.go
@@ -461,9 +461,11 @@
 		}
 	}
 	f.c.wake = func() {
-		f.off += len(f.c.in)
-		f.c.take(len(f.c.in))
-		if f.off >= machine.MostReadOff || f.c.got != machine.NoEnd {
+		if f.off < machine.MostReadOff {
+			f.off += len(f.c.in)
+			f.c.take(len(f.c.in))
+		}
+		if f.c.got != machine.NoEnd { // whoever never stops is held up until the time is over
 			done()
 		}
 	}
