The rig hears what a relay writes when it comes, also on a way that opens late

Ruled out: the relay. The client left when its time was up; the line had been written 1.5 s before. The system takes a connection up at once, whatever the script says of its way, so the relay's dial comes up and it writes. At fault: fleet's backend.accepted waited for as long as a way opens late before it made the wire that tells the checker, so that a line written at once was heard of when the wait was over. wire.listen says that what comes is heard of when it comes, though its way may hold it; accepted broke that. Change: the wire is made and read from the start; what it brings is handed to the model once the way has opened. The checker holds as much as before, now with the right times, and hears of attempts at backends that are down when the way opens, too.

--- a/internal/fleet/backends.go
+++ b/internal/fleet/backends.go
@@ -253,24 +253,29 @@
 	r := b.rig
 	from, here := party{trouble.Relays, relay}, party{trouble.Backends, b.number}
 	late, ok := r.ways.opens(from, here)
-	if ok && late > 0 {
-		ok = wait(r.ctx, late)
+	if !ok {
+		_ = c.SetLinger(0)
+		_ = c.Close()
+		return
 	}
+	// What the relay writes meanwhile is heard of when it comes: taken for sent only now, a line would seem to go out
+	// for a client that has left since, or into a drain.
+	s := &session{b: b, id: r.ids.Add(1)}
+	r.checked(func() { s.watch = r.check.Backend(int(s.id), relay, b.number) })
+	s.wire = newWire(r, c, from, here, s.watch)
+	pieces := s.wire.read()
+	ok = late == 0 || wait(r.ctx, late)
 	b.mu.Lock()
 	if !ok || !b.up && !b.silent {
 		b.mu.Unlock()
-		_ = c.SetLinger(0)
-		_ = c.Close()
+		s.wire.end(broken)
 		return
 	}
-	id := r.ids.Add(1)
-	s := &session{b: b, life: b.life, id: id, mute: b.silent}
-	r.checked(func() { s.watch = r.check.Backend(int(id), relay, b.number) })
-	s.wire = newWire(r, c, from, here, s.watch)
+	s.life, s.mute = b.life, b.silent
 	b.sessions[s] = true
 	b.mu.Unlock()
 	r.handshake(relay, b.number)
-	s.wire.listen(func(p []byte) {
+	s.wire.deliver(pieces, func(p []byte) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		if b.life == s.life && !s.mute {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -206,6 +206,8 @@
 					t.Errorf("service %.3f though every line is late", s)
 				}
 			}},
+		// Nobody waits so long: each of these requests is given up before its line is there.
+		{"way to backends slower than clients wait", trouble.Fault{Kind: "link", Link: &trouble.Link{From: some(trouble.Relays, 0, 1), To: all(trouble.Backends), Delay: 4 * time.Second}}, "delayed", 5, nil},
 		{"lossy way to backends", trouble.Fault{Kind: "link", Link: &trouble.Link{From: all(trouble.Relays), To: all(trouble.Backends), Both: true, Loss: 0.3}}, "datagrams lost", 20, nil},
 		{"discovery held", trouble.Fault{Kind: "list out", Hit: []int{0, 1, 2}}, "struck", 3, nil},
 		{"backends vanish", trouble.Fault{Kind: "backends vanished", Hit: []int{1}}, "struck", 1, func(t *testing.T, res Result) {
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -161,9 +161,11 @@
 	}
 }
 
-// listen reads until the relay's end or ours, and hands on each piece once it has arrived. What comes is heard of when
-// it comes, though its way may hold it.
-func (w *wire) listen(each func(b []byte)) {
+// listen reads until the relay's end or ours, and hands on each piece once it has arrived.
+func (w *wire) listen(each func(b []byte)) { w.deliver(w.read(), each) }
+
+// read begins to read, until the relay's end or ours. What comes is heard of when it comes, though its way may hold it.
+func (w *wire) read() <-chan []byte {
 	way := make(chan []byte, 1024)
 	go func() {
 		defer close(way)
@@ -194,6 +196,11 @@
 			}
 		}
 	}()
+	return way
+}
+
+// deliver hands on each piece once it has arrived.
+func (w *wire) deliver(way <-chan []byte, each func(b []byte)) {
 	for b := range way {
 		if !w.rig.ways.stream(w.ctx, w.relay, w.here) {
 			return
