A probe is waited for no less than an answer takes on the way to its zone

At fault: answerTime, a quarter of the class's aim, whatever the way takes: 15 ms where zones lie 10 to 20 ms apart. Change: the quicker answers to probes tell what the way to a zone takes, late ones included (books.replied); a question waits for twice that at least, never over twice what a connection may take to come up. Its end is fixed when it is asked.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -310,13 +310,13 @@
 // Among many relays each has connections on few servers: the others may be full unseen.
 func (b *Balancer) ask(now time.Duration, s *server, c *call) bool {
 	if !b.unheard(now, s) || c.MidFlow || c.asks == 2*spread ||
-		c.deadline-now <= b.set.DialTimeout || c.Timing.Total > 0 && c.Timing.Total <= 2*b.answerTime(c) {
+		c.deadline-now <= b.set.DialTimeout || c.Timing.Total > 0 && c.Timing.Total <= 2*b.answerTime(c, s) {
 		return false
 	}
 	b.probe(s)
-	c.asked, c.sent, c.asks = s, now, c.asks+1
+	c.asked, c.sent, c.asks, c.askedBy = s, now, c.asks+1, now+b.answerTime(c, s)
 	b.held = append(b.held, c)
-	b.do.After(c.ID, b.answerTime(c))
+	b.do.After(c.ID, c.askedBy-now)
 	return true
 }
 
@@ -328,8 +328,8 @@
 // reported says whether a report of late tells how full a server is.
 func (b *Balancer) reported(now time.Duration, s *server) bool { return s.told && now-s.heard < 2*beat }
 
-// answerTime is how long a probe is waited for: what is left then is for set-ups.
-func (b *Balancer) answerTime(c *call) time.Duration { return b.aim(c) / 4 }
+// answerTime is how long a probe is waited for: what is left then is for set-ups. A far one takes its time.
+func (b *Balancer) answerTime(c *call, s *server) time.Duration { return max(b.aim(c)/4, 2*b.way(s)) }
 
 // overShare says whether the tenant holds its share here while half the servers are full.
 func (b *Balancer) overShare(c *call) bool {
@@ -470,7 +470,7 @@
 	case c.again > 0 && now >= c.again:
 		c.again = 0
 		b.try(now, c)
-	case c.asked != nil && now-c.sent >= b.answerTime(c): // silent: held to be full
+	case c.asked != nil && now >= c.askedBy: // silent: held to be full
 		b.answered(now, c.asked, 1)
 	}
 }
@@ -654,7 +654,7 @@
 	if s == nil {
 		return
 	}
-	s.probing = false
+	b.replied(s, r)
 	told, full := r.Status == OK && b.share >= 0 && b.share < len(r.Load), 0.0
 	switch {
 	case told:
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -623,6 +623,58 @@
 	}
 }
 
+// Servers of other zones, 20 ms away, could not answer within the 15 ms that a class with an aim of 60 ms waited for a
+// probe. Each was held to be full for two seconds, for all classes, and of 300 relays' questions 20,000 went so in a day.
+// A late answer tells how long the way is; a server that is silent beyond that is passed by as before.
+func TestAServerFarAwayIsGivenTheTimeOfItsWay(t *testing.T) {
+	// asked learns by one late answer how long the way to a zone is, and then has a question to another server there out.
+	asked := func() (b *Balancer, r *recorder, now time.Duration, id uint64, to BackendID) {
+		s := manyRelays()
+		s.Classes[0].OnTime, s.DialTimeout = 60*ms, 100*ms
+		b, r = start(t, s, 20)
+		learned := map[int]bool{}
+		for now, id = sec, 1; ; now, id = now+3*sec, id+1 {
+			r.clear()
+			b.Request(now, Request{ID: id, Key: id, Group: id, Left: 2 * sec})
+			got := r.take("probe")
+			if len(got) != 1 {
+				t.Fatalf("request %d: %v", id, r.did)
+			}
+			if to = got[0].to; learned[b.servers[to].Zone] {
+				return b, r, now, id, to
+			}
+			b.Timer(now+15*ms, id)
+			for _, late := range r.take("probe") {
+				learned[b.servers[late.to].Zone] = true
+				b.Probed(now+40*ms, Report{Backend: late.to, Latency: 40 * ms, Load: []float32{0.4}})
+			}
+		}
+	}
+	b, r, now, id, to := asked()
+	r.clear()
+	b.Timer(now+15*ms, id)
+	if len(r.did) != 0 {
+		t.Errorf("given up on before it can have answered: %v", r.did)
+	}
+	b.Probed(now+40*ms, Report{Backend: to, Latency: 40 * ms, Load: []float32{0.4}})
+	if got := r.take("send"); len(got) != 1 || got[0].to != to {
+		t.Errorf("its answer came in time: %v", r.did)
+	}
+	b, _, now, id, to = asked()
+	if b.Timer(now+80*ms, id); !b.Avoids(now+80*ms, to) {
+		t.Error("one that is silent for twice the time of its way is not passed by")
+	}
+	b, r, now, id, to = asked() // a way that grows meanwhile leaves no question without an end
+	waits := r.take("after")
+	other := slices.IndexFunc(b.ready, func(o *server) bool { return o.ID != to && o.Zone == b.servers[to].Zone })
+	b.Probed(now+10*ms, Report{Backend: b.ready[other].ID, Latency: 300 * ms, Load: []float32{0.4}})
+	if by := now + waits[0].wait; by > now+100*ms {
+		t.Errorf("asked for %v", waits[0].wait)
+	} else if b.Timer(by, id); !b.Avoids(by, to) {
+		t.Error("a question is left without an end since the way has grown")
+	}
+}
+
 // A connection is not asked for without end, and is answered in time when all are silent.
 // After a loss the clients of all relays come back within a second, and a report is as old: if each relay
 // sent one to the server that it reads has room, the server would be pushed from half full to twice its load.
--- a/balance/books.go
+++ b/balance/books.go
@@ -72,9 +72,10 @@
 	cut       bool            // cancelled to make way for a second copy
 	shunned   [spread]*server // passed by, though nothing speaks against them but their kind
 	shuns     int
-	rush      float64 // requests that came here in the beat before it
-	drawn     *server // its random backup, from the first look on
-	asked     *server // held until this one has answered a probe
+	rush      float64       // requests that came here in the beat before it
+	drawn     *server       // its random backup, from the first look on
+	asked     *server       // held until this one has answered a probe
+	askedBy   time.Duration // or until then
 	began     bool
 	done      bool // the final answer is out, or the client is gone
 	mayRan    bool // an earlier attempt may have acted
@@ -133,6 +134,29 @@
 	}
 }
 
+// replied takes in that a probe has ended and, if it was answered, what the way to its server's zone takes: a quick
+// answer tells, a late one may tell of the server.
+func (b *Balancer) replied(s *server, r Report) {
+	s.probing = false
+	if r.Status != OK {
+		return
+	}
+	usual := b.ways[s.Zone]
+	switch took := max(r.Latency, 1); {
+	case usual == 0:
+		usual = took
+	case took < usual:
+		usual += (took - usual) / 4
+	default:
+		usual += min(took-usual, usual) / 32
+	}
+	b.ways[s.Zone] = usual
+}
+
+// way is what an answer from a server takes when it is quick, 0 where none has come from its zone; never longer than a
+// connection may take to come up.
+func (b *Balancer) way(s *server) time.Duration { return min(b.ways[s.Zone], b.set.DialTimeout) }
+
 // errors is how many a second a report tells of, 0 where it tells of none.
 func (b *Balancer) errors(r Report) float64 {
 	if r.Status != OK || b.errs < 0 || b.errs >= len(r.Load) {
@@ -199,12 +223,13 @@
 	cut      time.Duration // when gap grew last
 	lost     time.Duration // when a ready server last ceased to be; 0: never
 	kinds    map[int]*kind
-	rush     float64       // requests of the last beat, older ones counting less
-	cameAt   time.Duration // when the last one came
-	crowd    float64       // how full servers said to be of late; 1 where none says
-	tells    int           // load reports heard
-	meanSize float64       // of the ready servers
-	quickest float64       // a third of the shortest message aim, in milliseconds
+	ways     map[int]time.Duration // what quick answers to probes take, by the server's zone
+	rush     float64               // requests of the last beat, older ones counting less
+	cameAt   time.Duration         // when the last one came
+	crowd    float64               // how full servers said to be of late; 1 where none says
+	tells    int                   // load reports heard
+	meanSize float64               // of the ready servers
+	quickest float64               // a third of the shortest message aim, in milliseconds
 }
 
 type listState struct {
--- a/balance/life.go
+++ b/balance/life.go
@@ -15,7 +15,7 @@
 func New(now time.Duration, seed uint64, s Settings, do Actions) *Balancer {
 	b := &Balancer{do: do, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		servers: map[BackendID]*server{}, calls: map[uint64]*call{}, divert: map[uint64]diversion{}, demand: map[uint64]float64{},
-		kinds: map[int]*kind{},
+		kinds: map[int]*kind{}, ways: map[int]time.Duration{},
 		usual: []float64{1}, seen: []float64{0}, taken: make([]int, max(1, len(s.Tenants))),
 		cleared: now, budget: 1, crowd: 1, share: slices.Index(s.Report, FieldLoadShare),
 		errs: slices.Index(s.Report, FieldErrors)}
