--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -135,6 +135,21 @@
 	}
 }
 
+// Relays whose backends are far away bring each connection up later than half of what its class wants, and quicker than
+// the settings let a way be. Nothing is wrong with any backend, so nobody is refused for it.
+func TestAWayThatIsLongIsNoTrouble(t *testing.T) {
+	t.Parallel()
+	// Up after four times the delay: the opening's way there and back, the line's and its answer's.
+	far := &trouble.Link{From: trouble.Party{Kind: trouble.Relays}, To: trouble.Party{Kind: trouble.Backends}, Both: true, Delay: 52 * time.Millisecond}
+	fleet := small(10, 8, 120)
+	fleet.Stay = [2]time.Duration{time.Second, 3 * time.Second}
+	res := play(t, Options{Length: 15 * time.Second, Fleet: fleet, Script: []trouble.Fault{{Kind: "link", At: time.Second, For: 13 * time.Second, Link: far}}})
+	t.Logf("%d served, %d refused, %d failed", res.Counts["served"], res.Counts["refused"], res.Counts["failed"])
+	if served, refused := res.Counts["served"], res.Counts["refused"]; served < 500 || 2*refused > served {
+		t.Errorf("%d refused beside %d served, though all backends are well", refused, served)
+	}
+}
+
 // A backend that fails at once holds nothing and says that it is empty. It must not draw what others would get.
 func TestABrokenBackendThatLooksEmptyDrawsNoHerd(t *testing.T) {
 	t.Parallel()
