--- a/internal/world/run.go
+++ b/internal/world/run.go
@@ -464,6 +464,7 @@
 
 // restart asks a relay to leave and starts it again once it has.
 func (run *run) restart(r *relay) {
+	r = run.relays[r.number] // there may have been an upgrade since: a former process never comes back
 	if !r.up || r.leaving || run.closing {
 		return
 	}
@@ -489,6 +490,7 @@
 
 // reload has a relay read a new configuration: perhaps its other agent, other limits.
 func (run *run) reload(r *relay, other bool, descriptors, memoryMB int) {
+	r = run.relays[r.number] // there may have been an upgrade since
 	if !r.up || r.few && !other {
 		return
 	}
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -53,6 +53,30 @@
 	})
 }
 
+// A restart that falls into an upgrade meets the process that runs now. The former one, which the fault was planned for, never
+// comes back: it would serve beside its heir, and its figures would be taken for the heir's.
+func TestARestartMeetsTheProcessThatRunsNow(t *testing.T) {
+	for _, tc := range []struct {
+		seed   uint64
+		script []Fault
+	}{
+		{9856, []Fault{{Kind: "relay upgraded", At: 15154 * time.Millisecond, For: 9356 * time.Millisecond, Who: 48, Much: 0.81},
+			{Kind: "rolling restart", At: 20783 * time.Millisecond, For: 8110 * time.Millisecond, Who: 12, Much: 0.1}}},
+		{11496, []Fault{{Kind: "relay upgraded", At: 32277 * time.Millisecond, For: 4595 * time.Millisecond, Who: 8, Much: 0.46},
+			{Kind: "rolling restart", At: 32860 * time.Millisecond, For: 4846 * time.Millisecond, Who: 17, Much: 0.09}}},
+		{11496, []Fault{{Kind: "relay upgraded", At: 20 * time.Second, For: 20 * time.Second, Who: 0, Much: 0.1},
+			{Kind: "relay drained and not", At: 19900 * time.Millisecond, For: 6 * time.Second, Who: 0, Much: 0.9}}},
+	} {
+		res := Run(Options{Seed: tc.seed, Script: tc.script})
+		for _, b := range res.Broken {
+			t.Errorf("seed %d: %v", tc.seed, b)
+		}
+		if res.Counts["relay upgraded"] == 0 || res.Counts["relay leaves"] == 0 {
+			t.Errorf("seed %d played no upgrade or no restart: %v", tc.seed, res.Counts)
+		}
+	}
+}
+
 // A checker that has never caught anything proves nothing: each way to break a relay is caught within 200
 // seeds, and by the rule that it breaks.
 func TestEachBreakIsCaughtByItsRule(t *testing.T) {
