Cold servers take whoever finds the home full: they stood empty while others drowned

By cause: nothing passes them by for want of room; 40 in 100 keys are at home at a cold one, but a relay may send one a connection in some 150 s and has a client with such a key a hundred times more seldom than that is spent.

Ruled out: refusals for spacing out and full groups (counted), attempts that are not spaced out (served no more), rushes (`rushed` passes two in five by).

Lines at fault: `takesCold`, `refill` and `place` of balance/balance.go. What a relay may send was only for keys at home there, counted from its first look on, and went by what the others held, however little of their capacity that was.

Change: a connection that finds its home full, or that leads its backup by reports, goes to a cold server that this relay may send one (`spare`), before any other. What it may send is drawn for each span of the settings' length and lapses, so that nothing is saved up for a rush. It goes by what fills a warm server where reports tell (connections over load).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -15,7 +15,7 @@
 	deltaTold  = 1.25             // and in those of any relay's where reports tell what a server holds
 	askedFrom  = 0.9              // a backup is asked for a home over this part of the usual load
 	probeConns = 4.0              // so many on a server that may be over are worth a probe a second
-	idleConns  = 24.0             // on each server, as which all relays without connections count
+	idleConns  = 8.0             // on each server, as which all relays without connections count
 	clearEvery = 10 * time.Second // B and F are forgotten this often
 	beat       = time.Second      // the rhythm of upkeep
 	drainTime  = 8 * time.Second  // a draining server's connections have moved by then
@@ -57,26 +57,35 @@
 			return home
 		}
 	}
-	backup := home.backup
+	spare := b.spare(now, c)
+	backup := cmp.Or(spare, home.backup)
 	if backup == nil {
-		if backup = c.drawn; backup == nil {
-			backup = b.ready[b.rng.IntN(len(b.ready))]
-		}
+		backup = cmp.Or(c.drawn, b.ready[b.rng.IntN(len(b.ready))])
 		if backup.flagged || backup == home {
 			return home
 		}
 	}
-	if !b.leads(now, home, backup, c) || !b.usable(now, backup, c) {
+	if !b.leads(now, home, backup, c) || backup != spare && !b.usable(now, backup, c) {
 		return home
 	}
 	if c.drawn = backup; b.unheard(now, backup) { // it is asked before its T is gone by
 		return backup
 	}
-	home.backup, backup.flagged = backup, true
+	if backup != spare {
+		home.backup, backup.flagged = backup, true
+	}
 	b.remember(now, c, backup)
 	return backup
 }
 
+// spare is a cold server that this relay may send one more now. Few relays may at a time, and few keys are at
+// home there: left to those, cold servers stay empty while the others are full.
+func (b *Balancer) spare(now time.Duration, c *call) *server {
+	return b.first(c.key, func(s *server) bool {
+		return b.warmth(now, s) < 1 && b.sound(now, s, c) && b.refill(now, s)
+	})
+}
+
 // leads says whether T of the home exceeds that of the backup by Δ. Where reports tell it, T is what all
 // relays hold there: among many, a relay's own connections say nothing of a server. It splits no group.
 func (b *Balancer) leads(now time.Duration, home, backup *server, c *call) bool {
@@ -105,23 +114,19 @@
 
 // overflow is the next in order where the home can't take it: first one that holds some of the group already.
 func (b *Balancer) overflow(now time.Duration, c *call) *server {
-	var holder *server
-	best := 0.0
-	for _, s := range b.busy {
-		score, ok := s.beats(c.key, best)
-		if ok && c.grouped && s.groups[c.key] > 0 && b.usable(now, s, c) {
-			holder, best = s, score
-		}
-	}
-	if holder != nil {
+	holds := func(s *server) bool { return c.grouped && s.groups[c.key] > 0 && b.usable(now, s, c) }
+	if holder := b.first(c.key, holds); holder != nil {
 		return holder
 	}
+	if cold := b.spare(now, c); cold != nil {
+		return cold
+	}
 	next := b.first(c.key, func(s *server) bool { return b.usable(now, s, c) })
 	if next == nil || !c.grouped {
 		return next
 	}
 	ahead := 0 // in overload, groups scattered one by one cost more than they bring; idle servers bring none
-	best, _ = next.beats(c.key, 0)
+	best, _ := next.beats(c.key, 0)
 	for i, r := range b.ring {
 		if _, ok := r.beats(c.key, best); ok && b.warmth(now, b.ready[i]) >= 1 {
 			ahead++
@@ -174,11 +179,15 @@
 	return score, score > mark
 }
 
-// usable says whether the connection may go to the server at all. One that it holds already is borne already.
+// usable says whether the connection may go to the server at all.
 func (b *Balancer) usable(now time.Duration, s *server, c *call) bool {
+	return b.sound(now, s, c) && b.takesCold(now, s, c) // mid-flow too: all of a dead relay's come at once
+}
+
+// sound is the same but for the ramp of a cold server. One that it holds already is borne already.
+func (b *Balancer) sound(now time.Duration, s *server, c *call) bool {
 	return s.State == StateReady && b.allowed(now, s, c) && !slices.Contains(c.tried[:], s) &&
-		(c.MidFlow && c.tries == 0 || s.until <= now && b.room(s, c) && !slices.Contains(c.shunned[:], s)) &&
-		b.takesCold(now, s, c) // mid-flow too: when relays die, all that they had comes at once
+		(c.MidFlow && c.tries == 0 || s.until <= now && b.room(s, c) && !slices.Contains(c.shunned[:], s))
 }
 
 // delta is Δ: connections' worth, relative to a server of mean size.
@@ -728,14 +737,7 @@
 // takesCold says whether a starting server takes this key now: a rising share of them, within our part.
 func (b *Balancer) takesCold(now time.Duration, s *server, c *call) bool {
 	w := b.warmth(now, s)
-	if w >= 1 {
-		return true
-	}
-	if float64(mix(c.key+s.hash)>>11)/(1<<53) > w {
-		return false
-	}
-	b.refill(now, s, w)
-	return s.budget >= 1
+	return w >= 1 || float64(mix(c.key+s.hash)>>11)/(1<<53) <= w && b.refill(now, s)
 }
 
 // warmth is the share of its capacity a server surely has.
@@ -747,25 +749,25 @@
 	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, float64(age)/float64(b.set.WarmUp))
 }
 
-// refill adds to a cold server's budget: what this relay has on others of its size over a warm-up is borne.
-func (b *Balancer) refill(now time.Duration, s *server, warmth float64) {
-	if s.filled == 0 {
-		// The first one comes after a random part of the gap: all relays learn of a start together.
-		s.filled, s.budget = now, b.rng.Float64()
-	}
-	conns, size := 0.0, 0.0
-	for _, o := range b.ready {
-		if b.warmth(now, o) >= 1 {
-			conns, size = conns+float64(o.n), size+o.size
+// refill says whether a cold server may get one more from here in this span: what this relay has on warm ones of
+// its size is borne over a warm-up. What is not used lapses, or a rush would spend what all relays have saved.
+func (b *Balancer) refill(now time.Duration, s *server) bool {
+	if span := max(1, b.set.FallSpan); now >= s.filled {
+		conns, size := 0.0, 0.0
+		for _, o := range b.ready {
+			if b.warmth(now, o) >= 1 {
+				conns, size = conns+float64(o.n), size+o.size
+			}
 		}
+		// Half of what would push it over. Relays without connections count as so many a server all together:
+		// as one each they would send the more, the more of them there are.
+		conns = max(conns, min(1, idleConns/float64(b.set.Relays)*float64(len(b.ready))))
+		fills := conns / max(b.crowd, blindRoom) / max(size, 1) * s.size
+		rate := b.set.FallMultiple / 2 * fills * b.warmth(now, s) / b.set.WarmUp.Seconds()
+		s.budget = math.Floor(rate*span.Seconds() + b.rng.Float64())
+		s.filled = now + span - (now-s.filled)%span
 	}
-	// Half of what would push it over. Relays without connections count as so many a server all together:
-	// as one each they would send the more the more of them there are.
-	if conns = max(conns, min(1, idleConns*float64(len(b.ready))/float64(b.set.Relays))); size > 0 {
-		rate := b.set.FallMultiple / 2 * conns / size * s.size * warmth / b.set.WarmUp.Seconds()
-		s.budget = min(max(1, rate*b.set.FallSpan.Seconds()), s.budget+rate*(now-s.filled).Seconds())
-	}
-	s.filled = now
+	return s.budget >= 1
 }
 
 // --- the list -----------------------------------------------------------------------
--- a/balance/books.go
+++ b/balance/books.go
@@ -48,8 +48,8 @@
 	word    time.Duration // when another relay last said that it lags
 	hot     time.Duration // when it last showed overload
 	reset   time.Duration // when it last reset a connection
-	budget  float64       // cold: connections' worth this relay may send now
-	filled  time.Duration // when budget was last topped up
+	budget  float64       // cold: so many more may go there from here
+	filled  time.Duration // until then, when the next span begins
 }
 
 // call is a request from its arrival until its last attempt has ended.
@@ -352,7 +352,8 @@
 		b.servers[l.ID] = s
 	}
 	if l.State == StateReady && (l.ReadyAt != s.ReadyAt || s.State == StateDraining) {
-		s.until, s.bench, s.filled, s.limit, s.heard, s.pace, s.paces = 0, 0, 0, 0, now-2*beat, 0, 0
+		s.until, s.bench, s.limit, s.heard, s.pace, s.paces = 0, 0, 0, now-2*beat, 0, 0
+		s.filled, s.budget = now+time.Duration(b.rng.Float64()*float64(b.set.FallSpan)), 0 // not all relays' spans begin together
 	}
 	if l.State != s.State {
 		s.news = now
--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -189,3 +189,93 @@
 		}
 	}
 }
+
+// Most of a fleet's servers are replaced at once: those that are left report that they are full, and the new ones are cold.
+// Few keys are at home there, and few relays may send one a connection at a time. Whoever may does, whatever the key: left
+// empty, the cold ones would be of no use while the others are over their capacity. The budget holds all the same.
+func TestColdServersTakeWhoFindsTheirHomeFull(t *testing.T) {
+	const warm, cold = 10, 6
+	for _, relays := range []int{30, 300} {
+		for _, groups := range []bool{false, true} {
+			rng := rand.New(rand.NewPCG(uint64(relays), 7))
+			set := settings()
+			set.Relays, set.Probes, set.Report, set.Groups = relays, true, []Field{FieldLoadShare}, groups
+			set.ColdFrom, set.WarmUp, set.FallMultiple, set.FallSpan, set.TellsDelay = 0.3, 8*sec, 2.5, 3*sec, false
+			const fills = 40.0 // connections fill a server
+			type relay struct {
+				b *Balancer
+				r *recorder
+			}
+			all := make([]relay, relays)
+			id := uint64(0)
+			starts := fleet(warm)
+			for i := range cold {
+				starts = append(starts, Backend{ID: BackendID(100 + i), State: StateReady, Weight: 1, ReadyAt: coldStart})
+			}
+			for i := range all {
+				x := relay{r: &recorder{}}
+				x.b = New(sec, rng.Uint64(), set, x.r)
+				x.b.List(sec, ListCached, fleet(warm))
+				for s := range sureCrowd {
+					x.b.Probed(sec, Report{Backend: BackendID(1 + s%warm), Latency: ms, Load: []float32{0.5}})
+				}
+				for range int(fills*warm/float64(relays) + rng.Float64()) {
+					id++
+					sent(t, x.b, x.r, sec, Request{ID: id, Key: rng.Uint64(), Group: id})
+					x.b.Began(sec, Outcome{ID: id})
+				}
+				x.b.List(coldStart, ListDelta, starts[warm:])
+				all[i] = x
+			}
+			got := map[BackendID][]time.Duration{}
+			for now := coldStart; now < coldStart+set.WarmUp; now += 100 * ms {
+				for _, x := range all {
+					if rng.IntN(15) != 0 {
+						continue
+					}
+					id++
+					x.r.clear()
+					x.b.Request(now, Request{ID: id, Key: rng.Uint64(), Group: id, Left: 2 * sec, Back: true})
+					for range 10 {
+						did := x.r.take("probe")
+						x.r.clear()
+						for _, p := range did {
+							load := float32(1.1)
+							if p.to >= 100 {
+								load = 0.1
+							}
+							x.b.Probed(now+ms, Report{Backend: p.to, Latency: ms, Load: []float32{load}})
+						}
+						if to := x.r.take("send"); len(to) == 1 {
+							got[to[0].to] = append(got[to[0].to], now)
+							x.b.Outcome(now+ms, Outcome{ID: id, Status: Cancelled, Closed: true})
+							break
+						}
+					}
+				}
+			}
+			used := 0
+			for s := BackendID(100); s < 100+cold; s++ {
+				used += len(got[s])
+				for i, from := range got[s] {
+					calls := 0
+					for _, to := range got[s][i:] {
+						if to-from <= set.FallSpan {
+							calls++
+						}
+					}
+					age := float64(from-coldStart) / float64(set.WarmUp)
+					most := set.FallMultiple * (set.ColdFrom + (1-set.ColdFrom)*age) * fills * set.FallSpan.Seconds() / set.WarmUp.Seconds()
+					if float64(calls) > most+2*math.Sqrt(most)+2 {
+						t.Fatalf("%d relays: %d calls in a span where %.1f are allowed", relays, calls, most)
+					}
+				}
+			}
+			part := float64(used) / cold / fills
+			t.Logf("%d relays, groups %v: each cold server got %.2f of what fills it over its warm-up", relays, groups, part)
+			if part < 0.28 {
+				t.Error("cold servers stay empty while the others are full")
+			}
+		}
+	}
+}
--- a/balance/memory.go
+++ b/balance/memory.go
@@ -100,7 +100,7 @@
 		if s.until = max(0, min(h.Until, now+16*beat)); s.until > now {
 			b.out = append(b.out, s)
 		}
-		s.hot, s.heard, s.filled = past(h.Hot), past(h.Heard), past(h.Filled)
+		s.hot, s.heard, s.filled = past(h.Hot), past(h.Heard), max(0, min(h.Filled, now+b.set.FallSpan))
 		s.limit, s.full, s.budget = sane(h.Limit), sane(h.Full), min(sane(h.Budget), maxBudget)
 		s.pace, s.paces = max(0, min(h.Pace, time.Minute)), max(0, min(h.Paces, surePace+1))
 		if s.limit > 0 { // upkeep forgets it in time
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -517,6 +517,26 @@
 	}
 }
 
+// Half of the backends go and two start: those that are left are full, and few of the clients' keys are at home at the new ones,
+// which are cold. Left to those keys, cold backends would stay empty while the others drop what they hold. None falls over.
+func TestColdBackendsTakeWhoFindsTheirHomeFull(t *testing.T) {
+	t.Parallel()
+	f := small(60, 10, 300)
+	f.Stay = [2]time.Duration{4 * time.Second, 12 * time.Second}
+	res := play(t, Options{Length: 14 * time.Second, Fleet: f, Script: []trouble.Fault{
+		{Kind: "backends start", At: 4 * time.Second, For: 9 * time.Second, Much: 0.5},
+		{Kind: "backends drain", At: 4500 * time.Millisecond, For: 9 * time.Second, Hit: []int{0, 1, 2, 3, 4}}}})
+	sent := res.Counts["sent to a cold backend"]
+	loads := res.Evenness[11].Loads
+	t.Logf("%d calls to cold backends, %d fell over; loads after seven seconds %.2f; service %.3f", sent, res.Counts["cold backend fell over"], loads, service(res, 6, 13))
+	if res.Counts["cold backend fell over"] != 0 {
+		t.Error("a cold backend was pushed over")
+	}
+	if sent < 56 {
+		t.Errorf("%d calls came to the cold backends while the others were full", sent)
+	}
+}
+
 // Three in ten backends start cold while all clients are at hand, and half of the relays are killed and come again at once
 // meanwhile, knowing nothing. What all processes send together stays within what a cold backend bears, at a budget of about
 // 5, 20 and 100 calls in a span, without any allowance for chance. Little of the room is used where a backend bears few calls.
