--- a/balance/balance.go
+++ b/balance/balance.go
@@ -15,7 +15,7 @@
 	deltaTold  = 1.25             // and in those of any relay's where reports tell what a server holds
 	askedFrom  = 0.9              // a backup is asked for a home over this part of the usual load
 	probeConns = 4.0              // so many on a server that may be over are worth a probe a second
-	idleConns  = 8.0             // on each server, as which all relays without connections count
+	idleConns  = 8.0              // on each server, as which all relays without connections count
 	clearEvery = 10 * time.Second // B and F are forgotten this often
 	beat       = time.Second      // the rhythm of upkeep
 	drainTime  = 8 * time.Second  // a draining server's connections have moved by then
