--- a/balance/balance.go
+++ b/balance/balance.go
@@ -750,7 +750,7 @@
 }
 
 // refill says whether a cold server may get one more from here in this span: what this relay has on warm ones
-// of its size is borne over a warm-up. What is unused lapses, or a rush would spend what all relays have saved.
+// is borne over a warm-up. What is unused lapses, or a rush would spend what all relays have saved.
 func (b *Balancer) refill(now time.Duration, s *server) bool {
 	if span := max(1, b.set.FallSpan); now >= s.filled {
 		conns, size := 0.0, 0.0
