--- a/internal/relay/crossings_test.go
+++ b/internal/relay/crossings_test.go
@@ -231,6 +231,45 @@
 	until(t, "nobody is in the books", func() bool { return r.even(t) })
 }
 
+// A crowd that says nothing fills the few places that there are for it, and holds each for a while. Who comes behind it lies in
+// the accept queue: what a backend is told of its patience, and the time that it has waited already, are no more than it had.
+func TestPatienceRunsInTheAcceptQueue(t *testing.T) {
+	s := newScripted(t)
+	cfg := bare("", s.entry("b"))
+	cfg.Sockets = 48 // five of them for who has said nothing yet
+	r, _, _ := running(t, cfg)
+	for range 60 {
+		c, err := net.Dial("tcp", r.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+	c, err := net.Dial("tcp", r.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	const patience = 5 * time.Second
+	sent := time.Now()
+	if _, err := fmt.Fprintf(c, "OPEN %016x %016x c=chat,d=%d\r\n", 7, 7, patience.Milliseconds()); err != nil {
+		t.Fatal(err)
+	}
+	b := s.accept()
+	line, err := b.in.ReadString('\n')
+	lay := time.Since(sent)
+	left := 0
+	if _, scan := fmt.Sscanf(line, "OPEN 0000000000000007 0000000000000007 c=chat,d=%d", &left); err != nil || scan != nil {
+		t.Fatalf("the backend was asked %q: %v, %v", line, err, scan)
+	}
+	if lay < 200*time.Millisecond {
+		t.Fatalf("it lay in the queue for %v: the case is not hard", lay)
+	}
+	if over := time.Duration(left)*time.Millisecond + lay - patience; over > 150*time.Millisecond {
+		t.Errorf("after %v its backend is told of %d ms: %v more than it had", lay, left, over)
+	}
+}
+
 // leaves has a client leave and says how long it took until it was in nobody's books.
 func leaves(t *testing.T, r *Relay, c *caller, how func(*caller)) {
 	t.Helper()
