A fleet whose servers are all cold is not pushed over by relays that have nothing

Symptom: with no warm server left, 300 relays sent each of twenty cold ones 27 to 35 calls in its first span where 5.6 and chance (12.3) are allowed.

Ruled out: chance (all servers alike); saved permissions (they lapse).

What relays without connections count as over all servers was divided by 1, not by how many there are, when no warm server was there to give a size.

Change: the servers' number stands in for their size then.

Result: the new test fails without the change ("server 14 got 30 calls, 5.6 are allowed") and passes with it; all of balance's tests pass.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -762,7 +762,7 @@
 		// Half of what would push it over. Relays without connections count as so many a server all together:
 		// as one each they would send the more, the more of them there are.
 		conns = max(conns, min(1, idleConns/float64(b.set.Relays)*float64(len(b.ready))))
-		fills := conns / max(b.crowd, blindRoom) / max(size, 1) * s.size
+		fills := conns / max(b.crowd, blindRoom) / cmp.Or(size, float64(len(b.ready))) * s.size
 		rate := b.set.FallMultiple / 2 * fills * b.warmth(now, s) / b.set.WarmUp.Seconds()
 		s.budget = math.Floor(rate*span.Seconds() + b.rng.Float64())
 		s.filled = now + span - (now-s.filled)%span
--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -279,3 +279,41 @@
 		}
 	}
 }
+
+// All servers have started lately, as after a power cut: no warm one says what fills a server, and what relays without
+// connections count as together is each server's, not the fleet's at each.
+func TestAFleetThatIsColdAllOverIsNotPushedOver(t *testing.T) {
+	const relays, servers, fills = 300, 20, 20.0
+	set := settings()
+	set.Relays, set.ColdFrom, set.WarmUp, set.FallMultiple, set.FallSpan = relays, 0.3, 8*sec, 2.5, 3*sec
+	rng := rand.New(rand.NewPCG(9, 9))
+	list := fleet(servers)
+	for i := range list {
+		list[i].ReadyAt = coldStart
+	}
+	got, id := map[BackendID]int{}, uint64(0)
+	for range relays {
+		r := &recorder{}
+		b := New(coldStart, rng.Uint64(), set, r)
+		b.List(coldStart, ListCached, list)
+		for now := coldStart; now < coldStart+set.FallSpan; now += 100 * ms {
+			id++
+			r.clear()
+			b.Request(now, Request{ID: id, Key: rng.Uint64(), Left: 2 * sec})
+			if to := r.take("send"); len(to) == 1 {
+				got[to[0].to]++
+				b.Outcome(now, Outcome{ID: id, Status: Cancelled, Closed: true})
+			}
+		}
+	}
+	most := set.FallMultiple * set.ColdFrom * fills * set.FallSpan.Seconds() / set.WarmUp.Seconds()
+	total := 0
+	for s, n := range got {
+		if total += n; float64(n) > most+2*math.Sqrt(most)+2 {
+			t.Errorf("server %d got %d calls in its first span, %.1f are allowed", s, n, most)
+		}
+	}
+	if total == 0 {
+		t.Error("nobody is served while all servers are cold")
+	}
+}
