--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -41,6 +41,7 @@
 var cases = map[string]func(*bed) error{
 	"configurations": configurationsInARow,
 	"half-close":     clientsEndTheirSide,
+	"slow-discovery": slowDiscovery,
 }
 
 func main() {
