--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -40,7 +40,7 @@
 // cases are the cases by name.
 var cases = map[string]func(*bed) error{
 	"configurations": configurationsInARow,
-	"half-close":     clientsEndTheirSide,
+	"foreign-ids":    foreignIDs,
 	"slow-discovery": slowDiscovery,
 }
 
