--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -40,9 +40,9 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*bed) error{
-	"added-class":    addedClass,
-	"foreign-ids":    foreignIDs,
-	"slow-discovery": slowDiscovery,
+	"added-class":     addedClass,
+	"crowded-upgrade": crowdedUpgrade,
+	"slow-discovery":  slowDiscovery,
 }
 
 func main() {
@@ -212,12 +212,18 @@
 
 // managedRelay starts a relay with a second address, for the signing co-operative, and waits until it is ready.
 func (b *bed) managedRelay(agent *standin.Discovery, classes []map[string]any) (*standin.Relay, standin.Config, string, error) {
+	return b.managedRelayWith(agent, signingSettings(classes), 1024)
+}
+
+// managedRelayWith is managedRelay with given settings and limit of descriptors.
+func (b *bed) managedRelayWith(agent *standin.Discovery, settings map[string]any, sockets int) (*standin.Relay, standin.Config, string, error) {
 	config := standin.Config{}
 	listen, err := standin.FreeAddress()
 	if err != nil {
 		return nil, config, "", err
 	}
-	config = standin.NewConfig("n0", listen, agent.Addr(), signingSettings(classes))
+	config = standin.NewConfig("n0", listen, agent.Addr(), settings)
+	config.Limits["sockets"] = sockets
 	if config.Management, err = standin.FreeAddress(); err != nil {
 		return nil, config, "", err
 	}
