--- a/review/cases/added_class.go
+++ b/review/cases/added_class.go
@@ -5,7 +5,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -19,8 +18,12 @@
 	// useNewClassAfter is how long after SIGHUP clients come under the new class's rules.
 	useNewClassAfter = 1200 * time.Millisecond
 
-	// submitsFor is how long clients submit then.
-	submitsFor = 8 * time.Second
+	// oldAgentLeaves is how long after a new configuration the agent that it no longer names closes its connections.
+	oldAgentLeaves = 1500 * time.Millisecond
+
+	// drainAfterReload is how long after the new configuration a backend begins to drain. What discovery has to tell counts as told 4 s
+	// after SIGHUP.
+	drainAfterReload = 5 * time.Second
 )
 
 // stretch gives classes the optional key aim-stretch.
@@ -30,21 +33,19 @@
 	}
 }
 
-// addedClass gives a relay one new configuration, in which image-submit is unsafe to repeat and a class is added. The classes so far
-// have the optional key aim-stretch, and the disruption is that the added class has not. No image-submit may run twice.
+// addedClass gives a relay one new configuration, in which a class is added and discovery moves. The classes so far have the optional
+// key aim-stretch, and the disruption is that the added class has not. A backend drains soon after; once that counts as told the relay
+// has to stop sending to it within the grace.
 func addedClass(b *bed) error {
-	backends, servers, err := b.backends(3, func(backend *standin.Backend) {
-		backend.Answer = func(open standin.Open) standin.Reply {
-			if open.Class == "image-submit" && strings.HasSuffix(open.ID, "0") { // it has run, and then an error came
-				return standin.Reply{Line: "ERR", Close: true}
-			}
-			return standin.Reply{Line: "UP " + backend.Name}
-		}
-	})
+	backends, servers, err := b.backends(3, nil)
+	if err != nil {
+		return err
+	}
+	agent, err := b.agent("old agent", 0, 41, servers)
 	if err != nil {
 		return err
 	}
-	agent, err := b.agent("agent", 0, 41, servers)
+	next, err := b.agent("new agent", 0, 41, servers)
 	if err != nil {
 		return err
 	}
@@ -54,27 +55,29 @@
 	if err != nil {
 		return err
 	}
-	defer b.load(relay.Listen)()
+	stopLoad := b.load(relay.Listen)
 	b.until(newConfigurationAt)
-	classes, added := signingClasses("non_idempotent"), class("bulk-submit", "read_like", 500, 2000, 1)
-	stretch(classes...)
+	added := class("bulk-submit", "read_like", 500, 2000, 1)
 	if !b.trouble {
 		stretch(added)
 	}
-	replacement := standin.NewConfig(config.Name, config.Listen, config.Discovery, signingSettings(append(classes, added)))
-	replacement.Management, replacement.Seed = config.Management, config.Seed
+	replacement := standin.NewConfig(config.Name, config.Listen, next.Addr(), signingSettings(append(classes, added)))
+	replacement.Management, replacement.Seed, replacement.Known = config.Management, config.Seed, config.Known
 	if err := b.reload(relay, path, replacement); err != nil {
 		return err
 	}
+	agent.Leave(oldAgentLeaves)
 	time.Sleep(useNewClassAfter)
-	b.submit(relay.Listen)
 	standin.Connect(b.record, relay.Listen, "bulk-submit", 2*time.Second, "").Close() // for the record alone
-	runs := map[string]int{}
-	for _, backend := range backends {
-		for _, open := range backend.Opens() {
-			if runs[open.ID]++; open.Class == "image-submit" && runs[open.ID] == 2 {
-				b.breaks("an unsafe request has run twice: %s", open.Line)
-			}
+	b.until(newConfigurationAt + drainAfterReload)
+	next.Set("s-1", "draining")
+	drained := b.record.Now()
+	b.until(drained + countsAsTold + watchedFor)
+	stopLoad()
+	for _, open := range backends[1].Opens() {
+		if open.FirstByte > drained+countsAsTold+drainGrace+socketSlack {
+			b.breaks("s-1 drains since %v, which counts as told %v later; %v after that it receives %s", drained, countsAsTold,
+				open.FirstByte-drained-countsAsTold, open.Line)
 		}
 	}
 	return nil
@@ -100,15 +103,6 @@
 	}
 }
 
-// submit has clients submit for submitsFor, each request once.
-func (b *bed) submit(relay string) {
-	var clients sync.WaitGroup
-	for end := b.record.Now() + submitsFor; b.record.Now() < end; time.Sleep(20 * time.Millisecond) {
-		clients.Go(func() { standin.Connect(b.record, relay, "image-submit", 2*time.Second, "").Close() })
-	}
-	clients.Wait()
-}
-
 // reload replaces the file of the configuration, sends SIGHUP and waits until the relay has counted it as taken or turned down.
 func (b *bed) reload(relay *standin.Relay, path string, config standin.Config) error {
 	before, err := relay.Stats()
--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -62,7 +62,7 @@
 	mux.HandleFunc("GET /catalog/members", d.serve)
 	d.listener, d.server = listener, &http.Server{Handler: mux}
 	go func() {
-		if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			record.Printf("discovery %s: %v", d.Name, err)
 		}
 	}()
@@ -75,6 +75,13 @@
 // Close ends the agent and its connections.
 func (d *Discovery) Close() { _ = d.server.Close() }
 
+// Leave has the agent take no new connection from now on and close the open ones after a time.
+func (d *Discovery) Leave(after time.Duration) {
+	_ = d.listener.Close()
+	d.record.Printf("leave   %s takes no new connection", d.Name)
+	time.AfterFunc(after, d.Close)
+}
+
 // Set gives a backend another state.
 func (d *Discovery) Set(id, state string) {
 	d.mu.Lock()
