--- a/review/cases/added_class.go
+++ b/review/cases/added_class.go
@@ -24,6 +24,15 @@
 	// drainAfterReload is how long after the new configuration a backend begins to drain. What discovery has to tell counts as told 4 s
 	// after SIGHUP.
 	drainAfterReload = 5 * time.Second
+
+	// countsAsTold is how long after discovery had it, and could be reached, a change counts as told at the latest.
+	countsAsTold = 6 * time.Second
+
+	// drainGrace is how long after it was told of a drain a relay may send to the backend.
+	drainGrace = 250 * time.Millisecond
+
+	// watchedFor is how long clients come after that.
+	watchedFor = 10 * time.Second
 )
 
 // stretch gives classes the optional key aim-stretch.
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -26,6 +26,9 @@
 // timeLimit ends a case that hangs.
 const timeLimit = 110 * time.Second
 
+// socketSlack is how much longer each time limit of the pages is on sockets.
+const socketSlack = 50 * time.Millisecond
+
 // bed is what a case plays with.
 type bed struct {
 	record  *standin.Record
@@ -42,7 +45,7 @@
 var cases = map[string]func(*bed) error{
 	"added-class":     addedClass,
 	"crowded-upgrade": crowdedUpgrade,
-	"slow-discovery":  slowDiscovery,
+	"endless-answer":  endlessAnswer,
 }
 
 func main() {
--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -33,6 +33,8 @@
 	Name string
 	// Answer decides on an OPEN line; nil: UP at once. It is set before Listen.
 	Answer func(Open) Reply
+	// AnswerLine answers a later line of a connection that is up; nil: a whole line at once. It is set before Listen.
+	AnswerLine func(conn net.Conn, line string) error
 
 	record   *Record
 	listener net.Listener
@@ -164,7 +166,11 @@
 		}
 		line = strings.TrimRight(line, "\r\n")
 		b.record.Printf("run     %s receives %s", b.Name, line)
-		_, err = fmt.Fprintf(conn, "answer to %s\r\n", line)
+		if b.AnswerLine != nil {
+			err = b.AnswerLine(conn, line)
+		} else {
+			_, err = fmt.Fprintf(conn, "answer to %s\r\n", line)
+		}
 		b.record.Printf("answer  %s answers %s %s", b.Name, line, errText(err))
 		if err != nil {
 			return
