review/2: half as many silent clients, some of them before the new version

Cause: 600 silent clients at once were more than the case needs. The old process also holds silent clients when the new one divides the descriptors, and leaves it a pool of 1 or 2.

What is added: 60 silent clients before the start of the new version and 240 after its yes.

--- a/review/cases/upgrade_crowd.go
+++ b/review/cases/upgrade_crowd.go
@@ -20,10 +20,11 @@
 	// of the relay's descriptors.
 	restingClients = 76
 
-	// silentClients connect and say nothing, and leave when they are told to or after silentFor, in which they are owed an error or a
-	// close.
-	silentClients = 600
-	silentFor     = 3 * time.Second
+	// earlySilentClients connect before the new version is started, and lateSilentClients when it is ready. They say nothing, and leave
+	// when they are told to or after silentFor, in which they are owed an error or a close.
+	earlySilentClients = 60
+	lateSilentClients  = 240
+	silentFor          = 3 * time.Second
 
 	// askingClients ask one after another, askInterval apart, each with the time askFor.
 	askingClients = 6
@@ -66,6 +67,10 @@
 			return fmt.Errorf("client %s is not served: %q", client.ID, client.Answer)
 		}
 	}
+	var clients sync.WaitGroup
+	if err := b.silentCrowd(relay.Listen, earlySilentClients, &clients); err != nil {
+		return err
+	}
 	if b.trouble {
 		if err := b.newVersion(config, path); err != nil {
 			return err
@@ -75,8 +80,7 @@
 		kill := time.AfterFunc(termAfter+killAfter, relay.Kill)
 		defer kill.Stop()
 	}
-	var clients sync.WaitGroup
-	if err := b.silentCrowd(relay.Listen, &clients); err != nil {
+	if err := b.silentCrowd(relay.Listen, lateSilentClients, &clients); err != nil {
 		return err
 	}
 	var mu sync.Mutex
@@ -96,8 +100,8 @@
 }
 
 // silentCrowd connects clients that say nothing.
-func (b *bed) silentCrowd(relay string, clients *sync.WaitGroup) error {
-	for range silentClients {
+func (b *bed) silentCrowd(relay string, count int, clients *sync.WaitGroup) error {
+	for range count {
 		conn, err := net.DialTimeout("tcp", relay, time.Second)
 		if err != nil {
 			return err
@@ -108,7 +112,7 @@
 			_ = conn.Close()
 		})
 	}
-	b.record.Printf("note    %d clients have connected and say nothing", silentClients)
+	b.record.Printf("note    %d clients have connected and say nothing", count)
 	return nil
 }
 
