--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,4 +5,4 @@
   echo "bin/aspenbarrow or bin/review-cases is missing: run the deploy file's build and review/build.sh" >&2
   exit 2
 fi
-exec bin/review-cases cut-file review/1
+exec bin/review-cases added-class review/1
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -43,7 +43,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*bed) error{
-	"cut-file":        cutFile,
+	"added-class":     addedClass,
 	"crowded-upgrade": crowdedUpgrade,
 	"endless-answer":  endlessAnswer,
 }
@@ -190,8 +190,8 @@
 	}
 }
 
-// signingSettings returns the settings of the signing co-operative as the page on the wire shows them, for a single relay.
-// Connections end at the relay, and no datagrams are sent: none of the cases concerns either.
+// signingSettings returns the settings of the signing co-operative as the page on the wire shows them, for a single relay that sends no
+// datagrams.
 func signingSettings(classes []map[string]any) map[string]any {
 	return map[string]any{
 		"azs": []string{"fukuoka-dc", "kumamoto-dc"}, "kinds": []string{"fast-2c", "mid-2c", "slow-2c"},
@@ -199,7 +199,7 @@
 		"classes": classes, "customers": []string{}, "layers": []string{"queue-front"},
 		"clients": map[string]any{"marks-retry": true},
 		"family":  "conn",
-		"family-info": map[string]any{"groups": true, "message-aim-ms": slices.Repeat([]int{60}, len(classes)), "mode": "proxy", "park-ms": 0,
+		"family-info": map[string]any{"groups": true, "message-aim-ms": slices.Repeat([]int{60}, len(classes)), "mode": "pass", "park-ms": 4500,
 			"tells-delay": true, "tells-load": false, "tenant-quota-connections": []int{}},
 		"limits": map[string]any{"cancelling": true, "cpu-us-per-request": 0, "cpu-us-per-s": 800000, "dial-timeout-ms": 250,
 			"idle-close-ms": 5000, "max-open": 1000000, "max-retry-after-ms": 1500, "peers": false, "probes": true, "retry-after": true,
--- a/review/cases/upgrade_crowd.go
+++ b/review/cases/upgrade_crowd.go
@@ -55,7 +55,6 @@
 		return err
 	}
 	settings := signingSettings(signingClasses("read_like"))
-	settings["family-info"].(map[string]any)["mode"] = "pass"
 	relay, config, path, err := b.managedRelayWith(agent, settings, relaySockets)
 	if err != nil {
 		return err
