--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -14,4 +14,4 @@
 if [ "${TROUBLE:-1}" = 0 ]; then
   trouble=false
 fi
-exec "$root/bin/review-world2" -case slow-discovery -root "$root" -run "$run" -record "$folder/record.txt" -trouble="$trouble"
+exec "$root/bin/review-world2" -case restart-id -root "$root" -run "$run" -record "$folder/record.txt" -trouble="$trouble"
--- a/review/world2/world.go
+++ b/review/world2/world.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"sync"
 	"time"
 )
@@ -14,6 +15,7 @@
 	root    string
 	run     string
 	dir     string // temporary folder
+	tmpdir  string // $TMPDIR of the relays
 	trouble bool
 	started time.Time
 
@@ -33,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{root: root, run: run, dir: dir, trouble: trouble, started: time.Now(), record: bufio.NewWriter(file), file: file}
+	w := &world{root: root, run: run, dir: dir, tmpdir: filepath.Join(dir, "tmp"), trouble: trouble, started: time.Now(), record: bufio.NewWriter(file), file: file}
 	w.nextID = uint64(w.started.UnixNano())
 	w.logf("start     trouble=%v", trouble)
 	return w, nil
