--- a/review/world2/case_known.go
+++ b/review/world2/case_known.go
@@ -7,6 +7,28 @@
 
 func init() { cases["known"] = playKnown }
 
+const (
+	// almatyGrace is the grace of almaty-status with the 50 ms that sockets add.
+	almatyGrace = 1550 * time.Millisecond
+
+	// almatyDeadline is the longest deadline of almaty-status.
+	almatyDeadline = 1200 * time.Millisecond
+)
+
+// almatySettings are settings like those of almaty-status: connections end at the relay, lists are polled, and there are no probes.
+func almatySettings() object {
+	s := smallSettings([]class{{name: "status-watch", effect: "read_like", onTime: 300, giveUp: 1200, worth: 1}})
+	s["registry-mode"] = "on_request"
+	s["stats"] = object{"fields": []string{}, "how": "off"}
+	family := s["family-info"].(object)
+	family["mode"], family["park-ms"], family["tells-delay"] = "proxy", 0.0, false
+	limits := s["limits"].(object)
+	limits["probes"], limits["try-limit"] = false, 6
+	rules := s["rules"].(object)
+	rules["stop-sending-within-ms"], rules["fall-ms"] = 1500.0, 1500.0
+	return s
+}
+
 // playKnown replaces a process during an outage of discovery and then the configuration, whose list of backends is old.
 func playKnown(w *world) error {
 	opens := newOpenings()
@@ -22,6 +44,7 @@
 	if err != nil {
 		return err
 	}
+	config.settings = almatySettings()
 	first, err := w.startRelay("n0-old", config)
 	if err != nil {
 		return err
@@ -31,7 +54,7 @@
 	}
 	stop := make(chan struct{})
 	defer close(stop)
-	go w.sessions(config.listen, 100*time.Millisecond, 20*time.Second, stop)
+	go w.sessions(config.listen, 100*time.Millisecond, 20*time.Second, almatyDeadline, stop)
 	time.Sleep(time.Second)
 	a.addEntry(entries[4])
 	recorded := a.whole() // the platform records this list as the one that the relay last had
@@ -58,17 +81,17 @@
 	if err := second.awaitReady(); err != nil {
 		return err
 	}
-	first.stop(3 * time.Second)
+	first.stop(almatyDeadline)
 	time.Sleep(time.Second)
-	before := opens.after("s-1", drained.Add(drainGrace))
+	before := opens.after("s-1", drained.Add(almatyGrace))
 	next.known = recorded
 	if _, err := next.write(w); err != nil {
 		return err
 	}
 	second.signal(hangUp)
-	time.Sleep(5 * time.Second)
-	late := opens.after("s-1", drained.Add(drainGrace))
-	w.logf("case      s-1 received %d OPEN lines later than %v after its drain, %d of them before SIGHUP", late, drainGrace, before)
+	time.Sleep(7 * time.Second)
+	late := opens.after("s-1", drained.Add(almatyGrace))
+	w.logf("case      s-1 received %d OPEN lines later than %v after its drain, %d of them before SIGHUP", late, almatyGrace, before)
 	if late > 0 {
 		return fmt.Errorf("%w: the draining backend received %d new connections after its drain was told", errRuleBroken, late)
 	}
