--- a/cmd/aspenbarrow/harness_test.go
+++ b/cmd/aspenbarrow/harness_test.go
@@ -43,6 +43,8 @@
 	logShutdownStarted       = `"msg":"graceful shutdown started"`
 	logShutdownFinished      = `"msg":"graceful shutdown finished"`
 	logRestored              = "state restored from predecessor process"
+	logHandedOver            = "state handed over to successor process"
+	logIDsMissing            = "predecessor has not sent its request IDs"
 	logSuccessorExited       = "successor process exited, accepting connections again"
 	logHotRestartUnavailable = "hot restart socket unavailable"
 )
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -23,6 +23,7 @@
 //	drain.go           draining and undraining
 //	shutdown.go        graceful shutdown
 //	hotrestart.go      state passed between two processes of one relay
+//	requestids.go      request IDs that two processes of one relay share
 //	shadow.go          the clock and timers of the shadow evaluation
 package controller
 
@@ -60,6 +61,7 @@
 	peers       peerTable
 	membership  membershipState
 	descriptors descriptorBudget
+	requestIDs  requestIDState
 	drain       drainState
 	shutdown    shutdownState
 
--- a/internal/controller/fake_test.go
+++ b/internal/controller/fake_test.go
@@ -10,6 +10,7 @@
 
 	"aspenbarrow/balance"
 	"aspenbarrow/internal/discovery"
+	"aspenbarrow/internal/hotrestart"
 	"aspenbarrow/internal/session"
 	"aspenbarrow/internal/settings"
 	"aspenbarrow/internal/upstream"
@@ -27,13 +28,20 @@
 	stopped            int
 	stoppedAccepting   int
 	migrated           []uint64
+	idMessages         []string
 }
 
 func (d *fakeDriver) SendCommand(sequence uint64, command session.Command) {
 	d.commands[sequence] = append(d.commands[sequence], command)
 }
 
-func (d *fakeDriver) EndpointsReceived()             {}
+func (d *fakeDriver) EndpointsReceived()  {}
+func (d *fakeDriver) RequestIDsReceived() {}
+
+func (d *fakeDriver) SendIDMessage(to hotrestart.Process, message hotrestart.IDMessage) {
+	d.idMessages = append(d.idMessages, fmt.Sprint(to, " ", message.Encode()))
+}
+
 func (d *fakeDriver) SetSettings(*settings.Settings) {}
 
 func (d *fakeDriver) MigrateSession(sequence uint64) {
--- a/internal/controller/hotrestart.go
+++ b/internal/controller/hotrestart.go
@@ -41,6 +41,7 @@
 		Classes:   c.classNames,
 		Drained:   c.drain.requested.Load(),
 		Backends:  c.endpoints.records(),
+		SharesIDs: true,
 	}
 	if snapshotter, ok := c.balancer.(decision.Snapshotter); ok {
 		document.Snapshot = snapshotter.Snapshot()
@@ -61,6 +62,7 @@
 	list := document.EndpointList()
 	document.RemapClasses(c.classNames)
 	c.membership.previousIncarnation = document.Incarnation
+	c.requestIDs.predecessorShares = document.SharesIDs
 	c.deliver(now, func() {
 		if len(list.Endpoints) > 0 && !c.endpoints.discoveryAnswered { // a list that discovery has sent to this process is newer
 			c.updateEndpoints(list, balance.UpdateCached)
--- a/internal/controller/session_events.go
+++ b/internal/controller/session_events.go
@@ -39,12 +39,18 @@
 		c.driver.SendCommand(record.sequence, session.Command{Answer: protocol.BusyAnswer(session.RetryAfter(c.settings))})
 		return
 	}
-	if err := c.checkOpening(record); err != nil {
-		c.driver.ReportClientError(record.sequence, err)
-		c.driver.SendCommand(record.sequence, session.Command{Answer: protocol.AnswerFailed})
+	if err := c.checkOpening(record, opened.Open.Request.MidStream); err != nil {
+		c.rejectClient(record.sequence, err)
 		return
 	}
 	c.sessions.add(record)
+	if !c.mustWait(record, opened) {
+		c.admitRequest(record, opened)
+	}
+}
+
+// admitRequest passes a session's request to the balancer.
+func (c *Controller) admitRequest(record *sessionRecord, opened *session.Session) {
 	request := opened.Open.Request
 	request.ID = record.sequence
 	request.TimeLeft = c.timeLeft(opened)
@@ -55,6 +61,12 @@
 	c.requestArrived(record, request)
 }
 
+// rejectClient answers a client that has violated the protocol.
+func (c *Controller) rejectClient(sequence uint64, err error) {
+	c.driver.ReportClientError(sequence, err)
+	c.driver.SendCommand(sequence, session.Command{Answer: protocol.AnswerFailed})
+}
+
 // answerAfterPanic answers a client whose request made the balancer panic, and passes the panic on.
 func (c *Controller) answerAfterPanic(sequence uint64) {
 	if p := recover(); p != nil {
@@ -66,9 +78,10 @@
 // checkOpening refuses an ID that is in use, since the answers of the two sessions could not be distinguished, and a
 // session that can no longer be resumed: sessions from before the start are all resumed before any new one opens.
 // Resuming a session may take up to session.ResumeTimeout, more than half a minute, and for that time a client that asks
-// for it later would occupy a session slot.
-func (c *Controller) checkOpening(record *sessionRecord) error {
-	if c.sessions.byID[record.id] != nil {
+// for it later would occupy a session slot. A connection that moves here mid-stream has the ID that the predecessor holds
+// for it until the end of that process is noticed; mustWait handles it.
+func (c *Controller) checkOpening(record *sessionRecord, midStream bool) error {
+	if c.sessions.byID[record.id] != nil || !midStream && c.requestIDs.ledger.HeldByPredecessor(record.id) {
 		return &DuplicateIDError{record.id}
 	}
 	if record.resumed && (c.sessions.newSessionSeen || c.now-c.startedAt > session.ResumeTimeout) {
@@ -136,6 +149,12 @@
 }
 
 func (c *Controller) handleSessionEvent(record *sessionRecord, event session.Event) {
+	if record.wait != notWaiting {
+		if event.Kind == session.ClientLeft {
+			c.abandonWait(record)
+		}
+		return
+	}
 	switch event.Kind {
 	case session.ClientLeft:
 		c.sessions.markAnswered(record)
@@ -189,6 +208,11 @@
 
 func (c *Controller) sessionClosed(record *sessionRecord) {
 	c.sessions.remove(record)
+	c.requestIDs.ledger.Release(c.driver, record.id)
+	if record.wait != notWaiting {
+		c.abandonWait(record)
+		return
+	}
 	if !record.answered {
 		c.sessions.markAnswered(record)
 		c.balancer.ClientClosed(c.now, record.sequence)
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -17,6 +17,7 @@
 	backend       string               // name of the backend of the last attempt
 	attempts      int                  // attempts started
 	attemptsEnded int                  // attempts whose result the balancer has received
+	wait          waitReason           // why the request has not been passed to the balancer
 	answered      bool                 // the balancer has given the final answer, or none is needed
 }
 
@@ -48,6 +49,9 @@
 // hasWork reports whether any request awaits an answer or any session is open.
 func (t *sessionTable) hasWork() bool { return t.unanswered+len(t.bySequence) > 0 }
 
+// requestIDs returns the request IDs of the open sessions in any order.
+func (t *sessionTable) requestIDs() []uint64 { return slices.Collect(maps.Keys(t.byID)) }
+
 // sequences returns the sequence numbers of the open sessions in the order in which they opened.
 func (t *sessionTable) sequences() []uint64 { return slices.Sorted(maps.Keys(t.bySequence)) }
 
--- a/internal/controller/shutdown.go
+++ b/internal/controller/shutdown.go
@@ -110,7 +110,10 @@
 		if !c.settings.PassThrough {
 			c.driver.MigrateSession(sequence) // no effect on a session that is not established
 		}
-		if !c.sessions.bySequence[sequence].answered {
+		switch record := c.sessions.bySequence[sequence]; {
+		case record.wait != notWaiting:
+			c.claimTimedOut(sequence)
+		case !record.answered:
 			c.balancer.DeadlineExceeded(c.now, sequence)
 		}
 	}
--- a/internal/controller/timers.go
+++ b/internal/controller/timers.go
@@ -22,6 +22,7 @@
 	shadowTimer                          // set by the shadow evaluation's balancer
 	membershipTimer                      // next tick of the membership protocol
 	endpointsTimer                       // the wait for the first endpoint list is over
+	claimTimer                           // a request has waited for the other process of a hot restart
 )
 
 // timer is one pending timer.
@@ -117,6 +118,8 @@
 		c.membershipTick()
 	case endpointsTimer:
 		c.endpointsOverdue()
+	case claimTimer:
+		c.claimTimedOut(due.token)
 	}
 }
 
--- a/internal/hotrestart/document.go
+++ b/internal/hotrestart/document.go
@@ -31,6 +31,7 @@
 	Classes     []string         `json:"classes"` // names of all classes by number, retired ones included
 	Drained     bool             `json:"drained"`
 	Incarnation uint64           `json:"incarnation,omitempty"` // in the membership protocol; 0: membership is off
+	SharesIDs   bool             `json:"shares_ids,omitempty"`  // the predecessor answers ShareIDs; earlier versions do not
 	Backends    []BackendRecord  `json:"members"`
 	Snapshot    balance.Snapshot `json:"memory"`
 }
--- a/internal/relay/driver.go
+++ b/internal/relay/driver.go
@@ -5,6 +5,7 @@
 
 	"aspenbarrow/balance"
 	"aspenbarrow/internal/controller"
+	"aspenbarrow/internal/hotrestart"
 	"aspenbarrow/internal/session"
 	"aspenbarrow/internal/settings"
 	"aspenbarrow/internal/upstream"
@@ -60,6 +61,21 @@
 // EndpointsReceived signals that the first endpoint list has been received.
 func (d driver) EndpointsReceived() { close(d.endpointsReceived) }
 
+// SendIDMessage queues a message about request IDs for another process of this relay, if there is one.
+func (d driver) SendIDMessage(to hotrestart.Process, message hotrestart.IDMessage) {
+	switch {
+	case to == hotrestart.Successor && d.successorLink != nil:
+		d.successorLink.send(message.Encode())
+	case to == hotrestart.Predecessor && d.predecessor != nil:
+		d.predecessor.send(message.Encode())
+	}
+}
+
+// RequestIDsReceived signals that the predecessor has sent the IDs of its open requests.
+func (d driver) RequestIDsReceived() {
+	d.requestIDsOnce.Do(func() { close(d.requestIDsReceived) })
+}
+
 // StopAccepting closes the listener in the background, once.
 func (d driver) StopAccepting() { d.stopAcceptingOnce.Do(func() { go d.stopAccepting() }) }
 
--- a/internal/relay/hotrestart.go
+++ b/internal/relay/hotrestart.go
@@ -33,13 +33,17 @@
 	lineLoad        = "SEEN"    // predecessor to successor: the tracked load of its remaining sessions
 	lineDrain       = "DRAIN"   // both ways: a drain was requested at the admin endpoint
 	lineUndrain     = "UNDRAIN" // both ways: the end of the drain was requested
+	// Messages about request IDs, both ways, begin with hotrestart.IDMessagePrefix.
 )
 
 const (
 	// handOverTimeout bounds the whole hand-over once the processes are connected; after it the successor starts without a
-	// predecessor. It also bounds writing one line.
+	// predecessor.
 	handOverTimeout = time.Second
 
+	// idsTimeout bounds how long a successor waits for the IDs of the predecessor's open requests before it accepts connections.
+	idsTimeout = handOverTimeout / 2
+
 	// predecessorDialTimeout bounds connecting to the predecessor, before handOverTimeout starts: most of the time is for
 	// receiving the state.
 	predecessorDialTimeout = handOverTimeout / 4
@@ -82,19 +86,66 @@
 type processLink struct {
 	conn   *net.UnixConn
 	reader *bufio.Reader
-	mu     sync.Mutex // held while a line is written
+
+	mu      sync.Mutex // guards the fields below
+	queue   []byte     // lines that are not being written yet
+	writing bool       // a goroutine writes the queue
+	failed  bool       // the link has ended: lines are dropped
 }
 
 func newProcessLink(conn *net.UnixConn) *processLink {
 	return &processLink{conn: conn, reader: bufio.NewReader(conn)}
 }
 
-// writeLine sends a line. Errors are ignored: readLine then fails as well.
-func (l *processLink) writeLine(line string) {
+// send queues a line without waiting. The other process receives all lines in the order in which they were queued.
+// Errors are ignored: readLine then fails as well.
+func (l *processLink) send(line string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed {
+		return
+	}
+	l.queue = append(append(l.queue, line...), '\n')
+	if !l.writing {
+		l.writing = true
+		go l.writeQueue()
+	}
+}
+
+// sendIfIdle queues a line unless others wait: a later report replaces it. It reports whether the line is queued.
+func (l *processLink) sendIfIdle(line string) bool {
+	l.mu.Lock()
+	idle := !l.writing
+	l.mu.Unlock()
+	if idle {
+		l.send(line)
+	}
+	return idle
+}
+
+// writeQueue writes the queued lines until none is left. While the other process does not read, it waits; closing the link
+// ends the wait.
+func (l *processLink) writeQueue() {
+	for {
+		l.mu.Lock()
+		lines := l.queue
+		l.queue, l.writing = nil, len(lines) > 0
+		l.mu.Unlock()
+		if len(lines) == 0 {
+			return
+		}
+		if _, err := l.conn.Write(lines); err != nil {
+			l.drop()
+			return
+		}
+	}
+}
+
+// drop discards the queue and all later lines.
+func (l *processLink) drop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_ = l.conn.SetWriteDeadline(time.Now().Add(handOverTimeout))
-	_, _ = io.WriteString(l.conn, line+"\n")
+	l.queue, l.failed = nil, true
 }
 
 // readLine reads a line of up to hotrestart.MaxDocumentBytes.
@@ -144,7 +195,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.links {
-		go l.writeLine(line)
+		l.send(line)
 	}
 }
 
--- a/internal/relay/predecessor.go
+++ b/internal/relay/predecessor.go
@@ -204,6 +204,38 @@
 	return true
 }
 
+// awaitRequestIDs waits until the predecessor has sent the IDs of its open requests, so that none of them is served a second
+// time; false: ctx is done first. A predecessor that does not answer in time, and one of an earlier version, is not waited for.
+func (r *Relay) awaitRequestIDs(ctx context.Context, p *predecessor) bool {
+	if !r.controller.PredecessorSharesIDs() || !p.alive() {
+		return true
+	}
+	p.send(hotrestart.IDMessage{Kind: hotrestart.ShareIDs}.Encode())
+	timeout := time.NewTimer(idsTimeout)
+	defer timeout.Stop()
+	select {
+	case <-r.requestIDsReceived:
+	case <-p.exited:
+	case <-timeout.C:
+		r.log.Warn("hot restart: predecessor has not sent its request IDs, serving without them", zap.Duration("within", idsTimeout))
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// parseIDMessage parses a line if it is a message about request IDs. A malformed one is logged.
+func (r *Relay) parseIDMessage(line string) (message hotrestart.IDMessage, ok bool) {
+	if !strings.HasPrefix(line, hotrestart.IDMessagePrefix) {
+		return hotrestart.IDMessage{}, false
+	}
+	message, err := hotrestart.ParseIDMessage(line)
+	if err != nil {
+		r.log.Warn("message of other process is malformed", zap.Error(err))
+	}
+	return message, err == nil
+}
+
 // followPredecessor reads the predecessor's reports until the predecessor exits.
 func (r *Relay) followPredecessor(p *predecessor) {
 	r.processLinks.add(p.processLink)
@@ -214,10 +246,7 @@
 		if err != nil {
 			_ = p.conn.Close()
 			r.log.Info("predecessor process exited")
-			r.post(func(now time.Duration) {
-				r.controller.SetOtherProcessDescriptors(now, 0)
-				_ = r.controller.ImportLoad(now, nil)
-			})
+			r.post(r.controller.PredecessorExited)
 			return
 		}
 		r.handleReport(line)
@@ -238,6 +267,10 @@
 			}
 		})
 	default:
+		if message, ok := r.parseIDMessage(line); ok {
+			r.post(func(now time.Duration) { r.controller.HandlePredecessorMessage(now, message) })
+			return
+		}
 		r.applyDrainLine(line)
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,6 +57,7 @@
 	resumeAccept      chan struct{} // signals a paused acceptor to resume
 	acceptPaused      chan struct{} // the acceptor has paused
 	stopAcceptingOnce sync.Once
+	requestIDsOnce    sync.Once
 	listenerClosed    chan struct{} // closed when accepting has stopped
 
 	handshakes        *handshakePool
@@ -66,8 +67,10 @@
 	peers             *peerSocket
 	adminServer       *admin.Server // nil: there is no admin endpoint
 
-	predecessor  *predecessor // nil: this process took over from none
-	processLinks processLinks
+	predecessor        *predecessor // nil: this process took over from none
+	processLinks       processLinks
+	successorLink      *processLink  // used by the event loop only; nil: there is no successor
+	requestIDsReceived chan struct{} // closed once the predecessor has sent the IDs of its open requests
 
 	// Used by the event loop only, except for the controller's methods that any goroutine may call.
 	controller *controller.Controller
@@ -107,19 +110,20 @@
 // newRelay returns a relay with its channels and clock, still without its components.
 func newRelay(cfg Config, log *zap.Logger) *Relay {
 	r := &Relay{
-		initialConfig:     cfg,
-		seed:              cfg.Seed,
-		log:               log,
-		startTime:         time.Now(),
-		events:            make(chan func(time.Duration), eventQueueLength),
-		drainChanged:      make(chan struct{}, 1),
-		stopped:           make(chan struct{}),
-		shutdownFinished:  make(chan struct{}),
-		resumeAccept:      make(chan struct{}, 1),
-		acceptPaused:      make(chan struct{}, 1),
-		listenerClosed:    make(chan struct{}),
-		endpointsReceived: make(chan struct{}),
-		sessions:          map[uint64]*clientSession{},
+		initialConfig:      cfg,
+		seed:               cfg.Seed,
+		log:                log,
+		startTime:          time.Now(),
+		events:             make(chan func(time.Duration), eventQueueLength),
+		drainChanged:       make(chan struct{}, 1),
+		stopped:            make(chan struct{}),
+		shutdownFinished:   make(chan struct{}),
+		resumeAccept:       make(chan struct{}, 1),
+		acceptPaused:       make(chan struct{}, 1),
+		listenerClosed:     make(chan struct{}),
+		endpointsReceived:  make(chan struct{}),
+		requestIDsReceived: make(chan struct{}),
+		sessions:           map[uint64]*clientSession{},
 	}
 	r.startUnix = time.Duration(r.startTime.UnixNano())
 	initial := cfg.Settings
@@ -221,7 +225,7 @@
 	acceptEnded := make(chan error, 1)
 	if p := r.predecessor; p != nil {
 		go r.followPredecessor(p)
-		if !r.awaitReadiness(ctx, p) {
+		if !r.awaitReadiness(ctx, p) || !r.awaitRequestIDs(ctx, p) {
 			return acceptEnded
 		}
 	}
@@ -230,7 +234,7 @@
 	r.accepting.Store(true)
 	go func() { acceptEnded <- r.accept() }()
 	if r.predecessor != nil {
-		r.predecessor.writeLine(lineServing)
+		r.predecessor.send(lineServing)
 	}
 	return acceptEnded
 }
--- a/internal/relay/successor.go
+++ b/internal/relay/successor.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"aspenbarrow/internal/controller"
+	"aspenbarrow/internal/hotrestart"
 )
 
 // descriptorsPerSession counts the client's connection and the backend's.
@@ -143,6 +144,7 @@
 func sendState(l *processLink, fds []int, document []byte) error {
 	header := binary.BigEndian.AppendUint32([]byte(handOverMagic), uint32(len(document)))
 	_ = l.conn.SetWriteDeadline(time.Now().Add(exportTimeout))
+	defer func() { _ = l.conn.SetWriteDeadline(time.Time{}) }() // lines that follow may take longer
 	if _, _, err := l.conn.WriteMsgUnix(header, unix.UnixRights(fds...), nil); err != nil {
 		return err
 	}
@@ -156,23 +158,39 @@
 	defer r.processLinks.remove(l)
 	ended := make(chan struct{})
 	defer close(ended)
-	defer r.successorEnded()
+	defer r.successorEnded(l)
+	r.post(func(time.Duration) { r.successorLink = l })
 	for {
 		line, err := l.readLine()
 		if err != nil {
 			return
 		}
-		if line == lineServing && !r.controller.SetReplaced(true) {
-			r.setAcceptPaused(true)
-			go r.reportToSuccessor(l, ended)
-			continue
-		}
-		r.applyDrainLine(line)
+		r.handleSuccessorLine(l, line, ended)
 	}
 }
 
+// handleSuccessorLine applies one line from the successor. The first that shows that the successor is about to accept
+// connections, or does, stops this process from accepting any.
+func (r *Relay) handleSuccessorLine(l *processLink, line string, ended <-chan struct{}) {
+	message, isIDMessage := r.parseIDMessage(line)
+	if (line == lineServing || message.Kind == hotrestart.ShareIDs) && !r.controller.SetReplaced(true) {
+		r.setAcceptPaused(true)
+		go r.reportToSuccessor(l, ended)
+	}
+	if isIDMessage {
+		r.post(func(now time.Duration) { r.controller.HandleSuccessorMessage(now, message) })
+		return
+	}
+	r.applyDrainLine(line)
+}
+
 // successorEnded accepts connections again, also while this process shuts down: no other process does.
-func (r *Relay) successorEnded() {
+func (r *Relay) successorEnded(l *processLink) {
+	_ = l.conn.Close()
+	r.post(func(now time.Duration) {
+		r.successorLink = nil
+		r.controller.SuccessorExited(now)
+	})
 	select {
 	case <-r.stopped: // this process has ended, not the successor
 		return
@@ -218,8 +236,7 @@
 	defer ticker.Stop()
 	lastReported, exported := -1, make(chan []byte, 1)
 	for {
-		if n := r.descriptorsInUse(); n != lastReported {
-			l.writeLine(fmt.Sprintf("%s %d", lineDescriptors, n))
+		if n := r.descriptorsInUse(); n != lastReported && l.sendIfIdle(fmt.Sprintf("%s %d", lineDescriptors, n)) {
 			lastReported = n
 		}
 		go r.post(func(time.Duration) {
@@ -229,7 +246,7 @@
 		select {
 		case load := <-exported:
 			if len(load) > 0 {
-				l.writeLine(lineLoad + " " + string(load))
+				l.sendIfIdle(lineLoad + " " + string(load))
 			}
 		case <-ended:
 			return
--- a/internal/simulation/relay.go
+++ b/internal/simulation/relay.go
@@ -10,6 +10,7 @@
 	"aspenbarrow/internal/discovery"
 	"aspenbarrow/internal/handshake"
 	"aspenbarrow/internal/healthcheck"
+	"aspenbarrow/internal/hotrestart"
 	"aspenbarrow/internal/membership"
 	"aspenbarrow/internal/protocol"
 	"aspenbarrow/internal/session"
@@ -52,6 +53,9 @@
 	heldStates          []membership.State // what this process holds of the relays, as the checker knows; nil: not yet
 }
 
+// processLinkDelay is how long a message takes between the two processes of a hot restart.
+const processLinkDelay = 100 * time.Microsecond
+
 // mutationSlack is how far beyond the settings' limit a mutation delays an action: 60 ms more than the checker allows.
 const mutationSlack = 110 * time.Millisecond
 
@@ -161,6 +165,35 @@
 // EndpointsReceived does nothing: a simulated relay does not wait for the first endpoint list when it starts.
 func (r *relay) EndpointsReceived() {}
 
+// SendIDMessage passes a message about request IDs to the other process of a hot restart.
+func (r *relay) SendIDMessage(to hotrestart.Process, message hotrestart.IDMessage) {
+	switch successor, predecessor := r.successor, r.predecessor; {
+	case to == hotrestart.Successor && successor != nil:
+		successor.receiveFromProcess(func(now time.Duration) {
+			if successor.predecessor != nil {
+				successor.controller.HandlePredecessorMessage(now, message)
+			}
+		})
+	case to == hotrestart.Predecessor && predecessor != nil:
+		predecessor.receiveFromProcess(func(now time.Duration) { predecessor.controller.HandleSuccessorMessage(now, message) })
+	}
+}
+
+// receiveFromProcess runs an event that another process of the relay causes. The delay is constant, so that the messages keep
+// their order and recorded seeds draw the numbers that they drew before there were messages.
+func (r *relay) receiveFromProcess(handle func(now time.Duration)) {
+	r.engine.schedule(processLinkDelay, r.whileRunning(func() {
+		r.whileNotPaused(func() {
+			handle(r.engine.now)
+			r.scheduleTimer()
+			r.observeMembers()
+		})
+	}))
+}
+
+// RequestIDsReceived does nothing: a simulated relay does not wait for the request IDs of its predecessor.
+func (r *relay) RequestIDsReceived() {}
+
 // SetSettings passes reloaded settings on to the health checks.
 func (r *relay) SetSettings(s *settings.Settings) { r.healthChecks.SetSettings(s) }
 
@@ -187,6 +220,9 @@
 		conn.closeWrite()
 	}
 	r.kill()
+	if predecessor := r.predecessor; predecessor != nil && predecessor.up {
+		predecessor.receiveFromProcess(predecessor.controller.SuccessorExited)
+	}
 	if r.successor != nil {
 		r.run.count("old process left")
 		r.completeUpgrade()
--- a/internal/simulation/relay_upgrade.go
+++ b/internal/simulation/relay_upgrade.go
@@ -6,6 +6,7 @@
 
 	"aspenbarrow/internal/controller"
 	"aspenbarrow/internal/fault"
+	"aspenbarrow/internal/hotrestart"
 )
 
 // upgradeRelay starts another process of a relay beside the running one, as a hot restart of package relay does:
@@ -58,6 +59,7 @@
 	successor.controller.SetDescriptors(successor.cfg.MaxDescriptors)
 	run.relays[r.number], r.successor = successor, successor
 	r.controller.SetReplaced(true)
+	r.controller.HandleSuccessorMessage(run.engine.now, hotrestart.IDMessage{Kind: hotrestart.ShareIDs})
 	successor.joinMembership()
 	r.syncSuccessor()
 }
@@ -82,9 +84,6 @@
 	successor := r.successor
 	successor.predecessor = nil
 	if successor.up {
-		successor.post(func(now time.Duration) {
-			successor.controller.SetOtherProcessDescriptors(now, 0)
-			_ = successor.controller.ImportLoad(now, nil)
-		})
+		successor.post(successor.controller.PredecessorExited)
 	}
 }
