OPEN lines of very many short fields are refused without memory for each field

What callers would have seen: nothing in the crowds tried so far, which stayed within 32 MB; but each such line of 4 KiB made the relay allocate 24 to 98 KB, up to 24 times its size.

Cause: ParseOpen split the whole line into words, and the parameters into pairs, before it compared their number with the limits of 4 words and 32 parameters.

Change: it splits no further than to see that there are too many.

Evidence: TestParseOpen_ManyFieldsTakeLittleMemory failed before with 98,570, 24,720 and 49,227 bytes a line and passes with at most 4,096 allowed.

--- a/cmd/aspenbarrow/memory_test.go
+++ b/cmd/aspenbarrow/memory_test.go
@@ -18,6 +18,9 @@
 // maxLineLength is the longest line of the protocol.
 const maxLineLength = 4096
 
+// idAndKey is an OPEN line up to its parameters.
+const idAndKey = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 "
+
 // peakMemoryKB returns the peak of the process's resident memory in KiB.
 func (process *relayProcess) peakMemoryKB() int {
 	process.t.Helper()
@@ -137,8 +140,8 @@
 		"slow":            func(c net.Conn) { sendSlowly(c, manyFields(",")) },
 		"half a line":     func(c net.Conn) { sendAtOnce(c, manyFields(",")[:maxLineLength/2]) },
 		"many parameters": func(c net.Conn) { sendAtOnce(c, manyFields(",")+"\r\n") },
-		"many commas":     func(c net.Conn) { sendAtOnce(c, "OPEN 1 2 "+strings.Repeat(",", maxLineLength-64)+"\r\n") },
-		"many spaces":     func(c net.Conn) { sendAtOnce(c, "OPEN 1 2"+strings.Repeat(" ", maxLineLength-64)+"\r\n") },
+		"many commas":     func(c net.Conn) { sendAtOnce(c, idAndKey+strings.Repeat(",", maxLineLength-64)+"\r\n") },
+		"many spaces":     func(c net.Conn) { sendAtOnce(c, idAndKey+strings.Repeat("x ", maxLineLength/2-32)+"\r\n") },
 		"too long":        func(c net.Conn) { sendAtOnce(c, strings.Repeat("k", 16*maxLineLength)) },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/protocol/open.go
+++ b/internal/protocol/open.go
@@ -74,7 +74,7 @@
 
 func (p *openParser) parse() error {
 	line := p.open.Line
-	words := bytes.Split(line[:len(line)-len(crlf)], []byte(space))
+	words := bytes.SplitN(line[:len(line)-len(crlf)], []byte(space), openWords+1)
 	if len(words) != openWords || string(words[0]) != wordOpen {
 		return LineError{Kind: KindOpen, Err: ErrSyntax}
 	}
@@ -96,9 +96,10 @@
 	return nil
 }
 
-// parseParameters parses "name=value,name=value"; offset is the position of text in the line.
+// parseParameters parses "name=value,name=value"; offset is the position of text in the line. It splits no further than to see
+// that there are too many pairs: each one found takes memory, and a line has room for thousands.
 func (p *openParser) parseParameters(text []byte, offset int) error {
-	pairs := bytes.Split(text, []byte{','})
+	pairs := bytes.SplitN(text, []byte{','}, maxParameters+1)
 	if len(pairs) > maxParameters {
 		return LineError{Kind: KindOpen, Err: ErrSyntax}
 	}
--- a/internal/protocol/open_test.go
+++ b/internal/protocol/open_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"regexp"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -88,6 +89,38 @@
 	}
 }
 
+// allocatedBytes returns how many bytes a call of f allocates, on average over many calls.
+func allocatedBytes(f func()) uint64 {
+	const calls = 200
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range calls {
+		f()
+	}
+	runtime.ReadMemStats(&after)
+	return (after.TotalAlloc - before.TotalAlloc) / calls
+}
+
+// Guards against memory that a client can use up with lines of very many short fields: refusing a line for their number takes no
+// more memory than the longest line has bytes.
+func TestParseOpen_ManyFieldsTakeLittleMemory(t *testing.T) {
+	for name, fields := range map[string]string{
+		"commas":     strings.Repeat(",", 4000),
+		"parameters": strings.Repeat("a=b,", 1000),
+		"words":      strings.Repeat("x ", 2000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			line := []byte(idAndKey + fields + "\r\n")
+			if _, err := ParseOpen(line, testSettings); !errors.Is(err, ErrSyntax) {
+				t.Fatalf("got error %v, want %v", err, ErrSyntax)
+			}
+			if got := allocatedBytes(func() { _, _ = ParseOpen(line, testSettings) }); got > MaxLineLength {
+				t.Errorf("%d bytes allocated for a line of %d bytes, want %d at most", got, len(line), MaxLineLength)
+			}
+		})
+	}
+}
+
 // Whatever a client sends, only lines in the protocol's form are accepted and so reach a backend.
 func FuzzParseOpen(f *testing.F) {
 	form := regexp.MustCompile(`^OPEN [0-9a-f]{16} [0-9a-f]{16} ([!-~]+=[!-~]+)(,[!-~]+=[!-~]+)*\r\n$`)
