--- a/cmd/aspenbarrow/harness_test.go
+++ b/cmd/aspenbarrow/harness_test.go
@@ -253,20 +253,32 @@
 
 // residentMB returns the resident memory of the process in megabytes.
 func (process *relayProcess) residentMB() int {
+	process.t.Helper()
+	return process.statusKB("VmRSS") / 1024
+}
+
+// peakMemoryKB returns the peak of the process's resident memory in KiB.
+func (process *relayProcess) peakMemoryKB() int {
+	process.t.Helper()
+	return process.statusKB("VmHWM")
+}
+
+// statusKB returns a field of the process status that is given in KiB.
+func (process *relayProcess) statusKB(field string) int {
 	process.t.Helper()
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process.cmd.Process.Pid))
 	if err != nil {
 		process.t.Fatal(err)
 	}
-	match := regexp.MustCompile(`VmRSS:\s+(\d+) kB`).FindSubmatch(text)
+	match := regexp.MustCompile(field + `:\s+(\d+) kB`).FindSubmatch(text)
 	if match == nil {
-		process.t.Fatalf("VmRSS is missing in the process status: %s", text)
+		process.t.Fatalf("%s is missing in the process status: %s", field, text)
 	}
-	residentKB, err := strconv.Atoi(string(match[1]))
+	value, err := strconv.Atoi(string(match[1]))
 	if err != nil {
 		process.t.Fatal(err)
 	}
-	return residentKB / 1024
+	return value
 }
 
 // callAdmin sends a command to the admin endpoint and returns the answer, empty if there is none.
--- a/cmd/aspenbarrow/memory_test.go
+++ b/cmd/aspenbarrow/memory_test.go
@@ -1,12 +1,8 @@
 package main
 
 import (
-	"fmt"
 	"io"
 	"net"
-	"os"
-	"regexp"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -21,24 +17,6 @@
 // idAndKey is an OPEN line up to its parameters.
 const idAndKey = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 "
 
-// peakMemoryKB returns the peak of the process's resident memory in KiB.
-func (process *relayProcess) peakMemoryKB() int {
-	process.t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process.cmd.Process.Pid))
-	if err != nil {
-		process.t.Fatal(err)
-	}
-	match := regexp.MustCompile(`VmHWM:\s+(\d+) kB`).FindSubmatch(status)
-	if match == nil {
-		process.t.Fatalf("VmHWM is missing in the process status: %s", status)
-	}
-	peak, err := strconv.Atoi(string(match[1]))
-	if err != nil {
-		process.t.Fatal(err)
-	}
-	return peak
-}
-
 // manyFields returns an OPEN line that is as long as a line may be and consists of short parameters.
 func manyFields(separator string) string {
 	line := openRequest("")
--- a/internal/hotrestart/idledger.go
+++ b/internal/hotrestart/idledger.go
@@ -50,9 +50,6 @@
 	return held
 }
 
-// HeldCount returns how many IDs the predecessor holds.
-func (l *IDLedger) HeldCount() int { return len(l.held) }
-
 // Shared reports whether the successor decides, so that each new request needs a claim.
 func (l *IDLedger) Shared() bool { return l.shared }
 
--- a/internal/hotrestart/idledger_test.go
+++ b/internal/hotrestart/idledger_test.go
@@ -62,8 +62,8 @@
 	first.open[1] = true
 	first.Share(first, []uint64{1})
 	deliver(first, second)
-	if !second.HeldByPredecessor(1) || second.HeldCount() != 1 {
-		t.Fatalf("the second process knows %d IDs of the first, want ID 1", second.HeldCount())
+	if !second.HeldByPredecessor(1) || len(second.held) != 1 {
+		t.Fatalf("the second process knows %d IDs of the first, want ID 1", len(second.held))
 	}
 	second.open[2] = true
 	second.Share(second, []uint64{2})
@@ -84,8 +84,8 @@
 	second.PredecessorExited(second)
 	second.Release(second, 2)
 	deliver(first, second, third)
-	if third.HeldByPredecessor(1) || third.HeldByPredecessor(2) || third.HeldCount() != 2 {
-		t.Errorf("the third process holds %d IDs after the end of requests 1 and 2, want 4 and 5", third.HeldCount())
+	if third.HeldByPredecessor(1) || third.HeldByPredecessor(2) || len(third.held) != 2 {
+		t.Errorf("the third process holds %d IDs after the end of requests 1 and 2, want 4 and 5", len(third.held))
 	}
 }
 
@@ -120,8 +120,8 @@
 	}
 	first.Share(first, open)
 	deliver(first, second)
-	if second.HeldCount() != len(open) {
-		t.Errorf("%d IDs shared, want %d", second.HeldCount(), len(open))
+	if len(second.held) != len(open) {
+		t.Errorf("%d IDs shared, want %d", len(second.held), len(open))
 	}
 }
 
