Three processes of a relay: claim what waited for the first, keep IDs that it still holds

What callers would have seen: while three processes of a relay run, an ID could be served a second time by the third one. A mid-stream connection that had waited in the second process for the end of the first went on without a claim at the third, and a refused second request with an ID of the first process released that ID at the third.

Cause: PredecessorExited passed waiting requests to the balancer without looking whether a successor decides, and sessionClosed released the ID whoever held it.

Change: predecessorReleased claims the ID where a successor decides; releaseID keeps what the predecessor holds.

Evidence: TestController_ConnectionFromExitedPredecessorIsClaimedAtSuccessor and TestController_SecondRequestDoesNotReleaseIDOfPredecessor failed before and pass now; with TestController_ClientLeavesWhileItsIDIsClaimed, green before as well. TestHotRestart twice on processes: green.

--- a/internal/controller/requestids.go
+++ b/internal/controller/requestids.go
@@ -75,11 +75,28 @@
 	c.deliver(now, func() {
 		c.requestIDs.ledger.PredecessorExited(c.driver)
 		for _, sequence := range slices.Sorted(maps.Keys(c.requestIDs.waiting)) {
-			c.endWait(sequence, awaitsPredecessor)
+			c.predecessorReleased(c.sessions.bySequence[sequence])
 		}
 	})
 }
 
+// predecessorReleased continues with a request that has waited for the end of the predecessor.
+func (c *Controller) predecessorReleased(record *sessionRecord) {
+	if record.wait == awaitsPredecessor && c.requestIDs.ledger.Shared() {
+		record.wait = awaitsGrant
+		c.requestIDs.ledger.Claim(c.driver, record.sequence, record.id)
+		return
+	}
+	c.endWait(record.sequence, awaitsPredecessor)
+}
+
+// releaseID tells the successor that a request has ended, unless the predecessor has another one with its ID.
+func (c *Controller) releaseID(id uint64) {
+	if !c.requestIDs.ledger.HeldByPredecessor(id) {
+		c.requestIDs.ledger.Release(c.driver, id)
+	}
+}
+
 // SuccessorExited makes this process decide alone which request IDs are free.
 func (c *Controller) SuccessorExited(now time.Duration) {
 	c.deliver(now, func() {
--- a/internal/controller/session_events.go
+++ b/internal/controller/session_events.go
@@ -208,7 +208,7 @@
 
 func (c *Controller) sessionClosed(record *sessionRecord) {
 	c.sessions.remove(record)
-	c.requestIDs.ledger.Release(c.driver, record.id)
+	c.releaseID(record.id)
 	if record.wait != notWaiting {
 		c.abandonWait(record)
 		return
