The ID of a request whose client has left is not served again for a while

What callers saw: a client that sent OPEN and left, and whose ID came again, had the request run once more: in a trial three times at one process and a fourth time at the other process of a hot restart.

Cause: sessionClosed forgot the ID at once, while the attempt left behind may still run at its backend.

They are shared with a successor like open ones, and a successor keeps what its predecessor releases or holds at its exit. Mid-stream connections, which keep their ID, are exempt.

--- a/cmd/aspenbarrow/request_ids_test.go
+++ b/cmd/aspenbarrow/request_ids_test.go
@@ -150,3 +150,36 @@
 	predecessor.signal(syscall.SIGCONT)
 	waitFor(t, "the successor is ready", successor.isReady)
 }
+
+// Guards against a second run of a request whose client has left before or after its answer, when its ID comes again to
+// the same process, to the other one of a hot restart, or to that one after the first has exited.
+func TestHotRestart_IDOfClientThatLeftIsNotServedAgain(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	backend := heldBackend(release)
+	sequence := newRestartSequence(t, processOptions{}, backend)
+	predecessor := sequence.startNext()
+	pendingLine, establishedLine := openRequest(",held=1"), openRequest("")
+	pending, established := predecessor.dial(), predecessor.dial()
+	established.send(establishedLine)
+	established.expect("UP it")
+	pending.send(pendingLine)
+	waitFor(t, "both requests reach the backend", func() bool { return len(backend.OpenLines()) == 2 })
+	_, _ = pending.Close(), established.Close()
+
+	expectNoSecondRuns := func(process *relayProcess) {
+		for _, line := range []string{pendingLine, establishedLine} {
+			process.dial().expectNoSecondRun(line)
+		}
+	}
+	expectNoSecondRuns(predecessor)
+	successor := sequence.startNext()
+	expectNoSecondRuns(successor)
+	predecessor.signal(syscall.SIGKILL)
+	_ = predecessor.waitForExit()
+	successor.waitForLog(`"msg":"predecessor process exited"`, 1)
+	expectNoSecondRuns(successor)
+	if n := len(backend.OpenLines()); n != 2 {
+		t.Errorf("%d requests reached the backend, want 2", n)
+	}
+}
--- a/internal/controller/requestids.go
+++ b/internal/controller/requestids.go
@@ -40,10 +40,13 @@
 // HandlePredecessorMessage applies a message about request IDs from the predecessor process.
 func (c *Controller) HandlePredecessorMessage(now time.Duration, message hotrestart.IDMessage) {
 	c.deliver(now, func() {
-		isOpen := func(id uint64) bool { return c.sessions.byID[id] != nil }
-		c.requestIDs.ledger.FromPredecessor(c.driver, message, isOpen)
-		if message.Kind == hotrestart.IDsShared {
+		isInUse := func(id uint64) bool { return c.sessions.inUse(c.now, id) }
+		c.requestIDs.ledger.FromPredecessor(c.driver, message, isInUse)
+		switch message.Kind {
+		case hotrestart.IDsShared:
 			c.driver.RequestIDsReceived()
+		case hotrestart.ReleaseID: // whether it has run is not known
+			c.sessions.ended.add(c.now, message.IDs[0])
 		}
 	})
 }
@@ -73,7 +76,9 @@
 	c.SetOtherProcessDescriptors(now, 0)
 	_ = c.ImportLoad(now, nil)
 	c.deliver(now, func() {
-		c.requestIDs.ledger.PredecessorExited(c.driver)
+		for _, id := range c.requestIDs.ledger.PredecessorExited(c.driver) {
+			c.sessions.ended.add(c.now, id)
+		}
 		for _, sequence := range slices.Sorted(maps.Keys(c.requestIDs.waiting)) {
 			c.predecessorReleased(c.sessions.bySequence[sequence])
 		}
--- a/internal/controller/session_events.go
+++ b/internal/controller/session_events.go
@@ -78,10 +78,11 @@
 // checkOpening refuses an ID that is in use, since the answers of the two sessions could not be distinguished, and a
 // session that can no longer be resumed: sessions from before the start are all resumed before any new one opens.
 // Resuming a session may take up to session.ResumeTimeout, more than half a minute, and for that time a client that asks
-// for it later would occupy a session slot. A connection that moves here mid-stream has the ID that the predecessor holds
-// for it until the end of that process is noticed; mustWait handles it.
+// for it later would occupy a session slot. A connection that moves here mid-stream has the ID that it had before: the
+// predecessor holds it until the end of that process is noticed (mustWait), or its session here has ended lately.
 func (c *Controller) checkOpening(record *sessionRecord, midStream bool) error {
-	if c.sessions.byID[record.id] != nil || !midStream && c.requestIDs.ledger.HeldByPredecessor(record.id) {
+	other := c.sessions.ended.has(c.now, record.id) || c.requestIDs.ledger.HeldByPredecessor(record.id)
+	if c.sessions.byID[record.id] != nil || other && !midStream {
 		return &DuplicateIDError{record.id}
 	}
 	if record.resumed && (c.sessions.newSessionSeen || c.now-c.startedAt > session.ResumeTimeout) {
@@ -209,6 +210,9 @@
 func (c *Controller) sessionClosed(record *sessionRecord) {
 	c.sessions.remove(record)
 	c.releaseID(record.id)
+	if record.attempts > 0 {
+		c.sessions.ended.add(c.now, record.id)
+	}
 	if record.wait != notWaiting {
 		c.abandonWait(record)
 		return
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"aspenbarrow/balance"
 )
@@ -27,10 +28,11 @@
 	byID           map[uint64]*sessionRecord
 	unanswered     int  // requests that await an answer
 	newSessionSeen bool // a session has opened that was not resumed
+	ended          endedIDs
 }
 
 func newSessionTable() sessionTable {
-	return sessionTable{bySequence: map[uint64]*sessionRecord{}, byID: map[uint64]*sessionRecord{}}
+	return sessionTable{bySequence: map[uint64]*sessionRecord{}, byID: map[uint64]*sessionRecord{}, ended: newEndedIDs()}
 }
 
 func (t *sessionTable) add(record *sessionRecord) {
@@ -49,8 +51,15 @@
 // hasWork reports whether any request awaits an answer or any session is open.
 func (t *sessionTable) hasWork() bool { return t.unanswered+len(t.bySequence) > 0 }
 
-// requestIDs returns the request IDs of the open sessions in any order.
-func (t *sessionTable) requestIDs() []uint64 { return slices.Collect(maps.Keys(t.byID)) }
+// requestIDs returns the request IDs of the open sessions, and of those that have ended lately, in any order.
+func (t *sessionTable) requestIDs() []uint64 {
+	return slices.AppendSeq(slices.Collect(maps.Keys(t.byID)), maps.Keys(t.ended.count))
+}
+
+// inUse reports whether a session that is open, or has ended lately, has a request ID.
+func (t *sessionTable) inUse(now time.Duration, id uint64) bool {
+	return t.byID[id] != nil || t.ended.has(now, id)
+}
 
 // sequences returns the sequence numbers of the open sessions in the order in which they opened.
 func (t *sessionTable) sequences() []uint64 { return slices.Sorted(maps.Keys(t.bySequence)) }
--- a/internal/hotrestart/idledger.go
+++ b/internal/hotrestart/idledger.go
@@ -145,13 +145,15 @@
 	return Decision{}, false
 }
 
-// PredecessorExited releases the IDs of the predecessor: its connections have ended with it.
-func (l *IDLedger) PredecessorExited(to IDSender) {
-	for _, id := range slices.Sorted(maps.Keys(l.held)) {
+// PredecessorExited releases the IDs of the predecessor, whose connections have ended with it, and returns them.
+func (l *IDLedger) PredecessorExited(to IDSender) (released []uint64) {
+	released = slices.Sorted(maps.Keys(l.held))
+	for _, id := range released {
 		l.Release(to, id)
 	}
 	l.held = nil
 	maps.DeleteFunc(l.claims, func(_ uint64, claim idClaim) bool { return claim.forwarded })
+	return released
 }
 
 // SuccessorExited makes this process decide again. It grants the claims that have no answer and returns the sessions of
