Memory test: one OPEN line for all clients of a crowd, made before they start

The fault was in the test; the relay's log held no race.

Change: the line is made once. Its ID does not matter, since the line is refused for the number of its parameters.

--- a/cmd/aspenbarrow/memory_test.go
+++ b/cmd/aspenbarrow/memory_test.go
@@ -18,9 +18,9 @@
 const idAndKey = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 "
 
 // manyFields returns an OPEN line that is as long as a line may be and consists of short parameters.
-func manyFields(separator string) string {
+func manyFields() string {
+	const field = ",a=b"
 	line := openRequest("")
-	field := separator + "a=b"
 	return line + strings.Repeat(field, (maxLineLength-len(line)-len("\r\n"))/len(field))
 }
 
@@ -114,10 +114,11 @@
 // line, or send lines of very many short fields, while sessions fill the limit.
 func TestServe_CrowdsOfBadClientsStayWithinMemoryLimit(t *testing.T) {
 	const memoryMB, clients = 32, 600
+	longest := manyFields() // made once: request IDs are counted without a lock
 	for name, serve := range map[string]func(net.Conn){
-		"slow":            func(c net.Conn) { sendSlowly(c, manyFields(",")) },
-		"half a line":     func(c net.Conn) { sendAtOnce(c, manyFields(",")[:maxLineLength/2]) },
-		"many parameters": func(c net.Conn) { sendAtOnce(c, manyFields(",")+"\r\n") },
+		"slow":            func(c net.Conn) { sendSlowly(c, longest) },
+		"half a line":     func(c net.Conn) { sendAtOnce(c, longest[:maxLineLength/2]) },
+		"many parameters": func(c net.Conn) { sendAtOnce(c, longest+"\r\n") },
 		"many commas":     func(c net.Conn) { sendAtOnce(c, idAndKey+strings.Repeat(",", maxLineLength-64)+"\r\n") },
 		"many spaces":     func(c net.Conn) { sendAtOnce(c, idAndKey+strings.Repeat("x ", maxLineLength/2-32)+"\r\n") },
 		"too long":        func(c net.Conn) { sendAtOnce(c, strings.Repeat("k", 16*maxLineLength)) },
