The ID of an ended request is kept for 10 s at full speed

What callers saw: at 8,000 requests a second an ID that came again 1 s after its client had left ran twice, 24 of 50.

Cause: the table of ended IDs kept the newest 8,192, a second of such traffic, instead of the 10 s that it states.

The limit follows SIGHUP.

--- a/internal/controller/reload.go
+++ b/internal/controller/reload.go
@@ -56,7 +56,10 @@
 		func(_ *Controller, r *reload) bool {
 			return r.next.MaxDescriptors != r.previous.MaxDescriptors || r.next.MemoryMB != r.previous.MemoryMB
 		},
-		func(c *Controller, r *reload) { c.driver.SetLimits(r.limits) },
+		func(c *Controller, r *reload) {
+			c.sessions.ended.limit = maxEndedIDs(r.next.MemoryMB)
+			c.driver.SetLimits(r.limits)
+		},
 	},
 	{
 		"known",
--- a/internal/controller/requestids_test.go
+++ b/internal/controller/requestids_test.go
@@ -81,3 +81,20 @@
 		t.Errorf("commands %+v, %d sessions, %d waiting; want none", driver.commands[7], controller.SessionCount(), len(controller.requestIDs.waiting))
 	}
 }
+
+// Guards against a second run of a request whose client has left: at 8,000 requests a second its ID was forgotten after 1 s.
+func TestController_IDOfClientThatLeftIsNotServedAgainAtFullSpeed(t *testing.T) {
+	const perSecond, seconds = 8000, 3
+	controller, driver := newTestController(t, testConfig())
+	for i := range uint64(perSecond * seconds) {
+		now := time.Second + time.Duration(i)*time.Second/perSecond
+		establishSession(t, controller, driver, i+1, now)
+		controller.SessionClosed(now, i+1)
+	}
+	const again = perSecond // its client left two seconds ago
+	reopened := readOpenLine(t, controller, perSecond*seconds+1, openLine(again))
+	controller.SessionOpened((1+seconds)*time.Second, reopened)
+	if commands := driver.commands[reopened.Seq]; len(commands) != 1 || commands[0].Answer != protocol.AnswerFailed {
+		t.Errorf("commands %+v, want the answer ERR", commands)
+	}
+}
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"aspenbarrow/balance"
 )
 
@@ -31,8 +33,8 @@
 	ended          endedIDs
 }
 
-func newSessionTable() sessionTable {
-	return sessionTable{bySequence: map[uint64]*sessionRecord{}, byID: map[uint64]*sessionRecord{}, ended: newEndedIDs()}
+func newSessionTable(ended endedIDs) sessionTable {
+	return sessionTable{bySequence: map[uint64]*sessionRecord{}, byID: map[uint64]*sessionRecord{}, ended: ended}
 }
 
 func (t *sessionTable) add(record *sessionRecord) {
@@ -53,7 +55,7 @@
 
 // requestIDs returns the request IDs of the open sessions, and of those that have ended lately, in any order.
 func (t *sessionTable) requestIDs() []uint64 {
-	return slices.AppendSeq(slices.Collect(maps.Keys(t.byID)), maps.Keys(t.ended.count))
+	return slices.AppendSeq(t.ended.all(), maps.Keys(t.byID))
 }
 
 // inUse reports whether a session that is open, or has ended lately, has a request ID.
@@ -61,6 +63,11 @@
 	return t.byID[id] != nil || t.ended.has(now, id)
 }
 
+// endedIDsDropped logs that IDs of ended requests are kept for less than endedIDRetention.
+func (c *Controller) endedIDsDropped(kept time.Duration) {
+	c.log.Warn("request IDs forgotten early: memory limit reached", zap.Duration("kept", kept), zap.Int("limit", c.sessions.ended.limit))
+}
+
 // sequences returns the sequence numbers of the open sessions in the order in which they opened.
 func (t *sessionTable) sequences() []uint64 { return slices.Sorted(maps.Keys(t.bySequence)) }
 
--- a/internal/controller/start.go
+++ b/internal/controller/start.go
@@ -31,10 +31,10 @@
 		metrics:    &metrics.Registry{},
 		startedAt:  now,
 		now:        now,
-		sessions:   newSessionTable(),
 		endpoints:  newEndpointTable(),
 		peers:      newPeerTable(cfg.Peers),
 	}
+	c.sessions = newSessionTable(newEndedIDs(maxEndedIDs(cfg.MemoryMB), c.endedIDsDropped))
 	c.metrics.SetClasses(c.classNames)
 	cached, malformed, err := cfg.cachedEndpoints(c.settings)
 	malformed = errors.Join(err, malformed)
