A mid-stream connection goes on once the predecessor has released its ID

What callers would have seen: during a hot restart where packets pass through, a connection whose packets come to the new process before the old one has noticed the end of its own session with that ID was answered ERR after 250 ms.

Cause: such a connection waits for the predecessor, and only the exit of that process ended the wait, not the release of the ID.

Change: HandlePredecessorMessage goes on with the connections that wait for a released ID. The lines that both processes of a hot restart send alike are handled in one place (applySharedLine), and so are the messages of the simulation's processes.

--- a/internal/controller/requestids.go
+++ b/internal/controller/requestids.go
@@ -47,6 +47,7 @@
 			c.driver.RequestIDsReceived()
 		case hotrestart.ReleaseID: // whether it has run is not known
 			c.sessions.ended.add(c.now, message.IDs[0])
+			c.idReleased(message.IDs[0])
 		}
 	})
 }
@@ -86,7 +87,16 @@
 	})
 }
 
-// predecessorReleased continues with a request that has waited for the end of the predecessor.
+// idReleased continues with the connections that have waited for the predecessor to release their ID.
+func (c *Controller) idReleased(id uint64) {
+	for _, sequence := range slices.Sorted(maps.Keys(c.requestIDs.waiting)) {
+		if record := c.sessions.bySequence[sequence]; record.id == id {
+			c.predecessorReleased(record)
+		}
+	}
+}
+
+// predecessorReleased continues with a request if it has waited for the predecessor.
 func (c *Controller) predecessorReleased(record *sessionRecord) {
 	if record.wait == awaitsPredecessor && c.requestIDs.ledger.Shared() {
 		record.wait = awaitsGrant
--- a/internal/controller/requestids_test.go
+++ b/internal/controller/requestids_test.go
@@ -49,6 +49,22 @@
 	}
 }
 
+// Guards against a mid-stream connection that is answered ERR after 250 ms although the predecessor has ended its session with
+// the same ID, and goes on running: it was noticed only when the predecessor exited.
+func TestController_ConnectionGoesOnWhenPredecessorReleasesItsID(t *testing.T) {
+	controller, driver := newTestController(t, testConfig())
+	controller.HandlePredecessorMessage(time.Second, held)
+	openMidStream(t, controller)
+	controller.HandlePredecessorMessage(time.Second, hotrestart.IDMessage{Kind: hotrestart.ReleaseID, IDs: []uint64{2}})
+	if len(driver.commands[7]) != 0 {
+		t.Fatalf("commands %+v while the predecessor holds the ID", driver.commands[7])
+	}
+	controller.HandlePredecessorMessage(time.Second, hotrestart.IDMessage{Kind: hotrestart.ReleaseID, IDs: []uint64{1}})
+	if driver.lastBackend(7) == nil {
+		t.Errorf("commands %+v after the release, want an attempt", driver.commands[7])
+	}
+}
+
 // Guards against an ID that the successor takes for free although the predecessor still has its request.
 func TestController_SecondRequestDoesNotReleaseIDOfPredecessor(t *testing.T) {
 	controller, driver := newTestController(t, testConfig())
--- a/internal/relay/hotrestart.go
+++ b/internal/relay/hotrestart.go
@@ -82,28 +82,22 @@
 	}}
 }
 
-// applyDrainLine applies a drain, or the end of one, that was requested at the other process's admin endpoint.
-func (r *Relay) applyDrainLine(line string) {
-	if line == lineDrain || line == lineUndrain {
+// applySharedLine applies a line that either process sends: a drain, or the end of one, that was requested at the other
+// process's admin endpoint, or what discovery has told the other process.
+func (r *Relay) applySharedLine(from hotrestart.Process, line string) {
+	switch {
+	case line == lineDrain || line == lineUndrain:
 		r.setDrained(line == lineDrain)
+	case strings.HasPrefix(line, hotrestart.EndpointMessagePrefix):
+		message, err := hotrestart.ParseEndpointMessage(line)
+		if err != nil {
+			r.logMalformedMessage(err)
+			return
+		}
+		r.post(func(now time.Duration) { r.controller.HandleEndpointMessage(now, from, message) })
 	}
 }
 
-// applyEndpointLine applies a line of another process if it is about endpoints, and reports whether it is. A malformed one is
-// logged.
-func (r *Relay) applyEndpointLine(from hotrestart.Process, line string) bool {
-	if !strings.HasPrefix(line, hotrestart.EndpointMessagePrefix) {
-		return false
-	}
-	message, err := hotrestart.ParseEndpointMessage(line)
-	if err != nil {
-		r.logMalformedMessage(err)
-		return true
-	}
-	r.post(func(now time.Duration) { r.controller.HandleEndpointMessage(now, from, message) })
-	return true
-}
-
 // logMalformedMessage logs a message of another process that cannot be parsed.
 func (r *Relay) logMalformedMessage(err error) {
 	r.log.Warn("message of other process is malformed", zap.Error(err))
--- a/internal/relay/predecessor.go
+++ b/internal/relay/predecessor.go
@@ -271,8 +271,6 @@
 			r.post(func(now time.Duration) { r.controller.HandlePredecessorMessage(now, message) })
 			return
 		}
-		if !r.applyEndpointLine(hotrestart.Predecessor, line) {
-			r.applyDrainLine(line)
-		}
+		r.applySharedLine(hotrestart.Predecessor, line)
 	}
 }
--- a/internal/relay/successor.go
+++ b/internal/relay/successor.go
@@ -186,9 +186,7 @@
 		r.post(func(now time.Duration) { r.controller.HandleSuccessorMessage(now, message) })
 		return
 	}
-	if !r.applyEndpointLine(hotrestart.Successor, line) {
-		r.applyDrainLine(line)
-	}
+	r.applySharedLine(hotrestart.Successor, line)
 }
 
 // successorEnded accepts connections again, also while this process shuts down: no other process does.
--- a/internal/simulation/relay.go
+++ b/internal/simulation/relay.go
@@ -167,31 +167,37 @@
 
 // SendIDMessage passes a message about request IDs to the other process of a hot restart.
 func (r *relay) SendIDMessage(to hotrestart.Process, message hotrestart.IDMessage) {
-	switch successor, predecessor := r.successor, r.predecessor; {
-	case to == hotrestart.Successor && successor != nil:
-		successor.receiveFromProcess(func(now time.Duration) {
-			if successor.predecessor != nil {
-				successor.controller.HandlePredecessorMessage(now, message)
-			}
-		})
-	case to == hotrestart.Predecessor && predecessor != nil:
-		predecessor.receiveFromProcess(func(now time.Duration) { predecessor.controller.HandleSuccessorMessage(now, message) })
-	}
+	r.sendToProcess(to, func(receiver *controller.Controller, now time.Duration) {
+		if to == hotrestart.Successor {
+			receiver.HandlePredecessorMessage(now, message)
+		} else {
+			receiver.HandleSuccessorMessage(now, message)
+		}
+	})
 }
 
 // SendEndpointMessage passes a message about endpoints to the other process of a hot restart.
 func (r *relay) SendEndpointMessage(to hotrestart.Process, message hotrestart.EndpointMessage) {
+	from := hotrestart.Predecessor
+	if to == hotrestart.Predecessor {
+		from = hotrestart.Successor
+	}
+	r.sendToProcess(to, func(receiver *controller.Controller, now time.Duration) {
+		receiver.HandleEndpointMessage(now, from, message)
+	})
+}
+
+// sendToProcess has the other process of a hot restart handle a message. A successor whose predecessor has exited drops it.
+func (r *relay) sendToProcess(to hotrestart.Process, handle func(receiver *controller.Controller, now time.Duration)) {
 	switch successor, predecessor := r.successor, r.predecessor; {
 	case to == hotrestart.Successor && successor != nil:
 		successor.receiveFromProcess(func(now time.Duration) {
 			if successor.predecessor != nil {
-				successor.controller.HandleEndpointMessage(now, hotrestart.Predecessor, message)
+				handle(successor.controller, now)
 			}
 		})
 	case to == hotrestart.Predecessor && predecessor != nil:
-		predecessor.receiveFromProcess(func(now time.Duration) {
-			predecessor.controller.HandleEndpointMessage(now, hotrestart.Successor, message)
-		})
+		predecessor.receiveFromProcess(func(now time.Duration) { handle(predecessor.controller, now) })
 	}
 }
 
